--- /dev/null
+++ b/src/main/java/cypressvalve/Control.java
@@ -0,0 +1,855 @@
+package cypressvalve;
+
+import cypressvalve.model.MediaHost;
+import cypressvalve.model.Plan;
+import cypressvalve.model.Playback;
+import cypressvalve.model.Rack;
+import cypressvalve.model.Samples;
+import cypressvalve.model.Settings;
+import cypressvalve.model.SetupTry;
+import cypressvalve.model.Verdict;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+
+/**
+ * Every decision of one gateway. The caller tells what happens through the public methods, each with the
+ * time in nanoseconds; after each the rules below are gone through in order until none fires. Control acts
+ * through the interface Gateway (Gateway.java) alone and keeps its state in the plain objects of
+ * cypressvalve.model. The ordinary path is the design page's (docs/design.md); each departure says so.
+ */
+public final class Control {
+    private final Settings settings;
+    private final Gateway gateway;
+    private final RandomGenerator chance;
+    private final TreeMap<Long, MediaHost> hosts = new TreeMap<>();
+    private final TreeMap<Integer, Rack> racks = new TreeMap<>();
+    /** Playbacks that still wait for their answer, and those that play. */
+    private final List<Playback> open = new ArrayList<>();
+    private final List<Playback> playing = new ArrayList<>();
+    private final Samples taken = new Samples(1024);
+    private final Samples further = new Samples(256);
+    private final List<Samples> arrivals = new ArrayList<>();
+    private long now;
+    private long startedAt;
+    private boolean beganWithDay;
+    private long wakeAt = Long.MIN_VALUE;
+    private long followedAt = Long.MIN_VALUE;
+    private long movedAt = Long.MIN_VALUE / 2;
+    private double price;
+    private long priceAt = Long.MIN_VALUE;
+
+    private final List<BooleanSupplier> rules = List.of(
+        rule(this::unfollowed, this::follow),
+        rule(this::unwoken, this::wake),
+        rule(this::restarted, this::treatAsCold),
+        rule(this::outOfTime, this::answer),
+        rule(this::unplaced, this::place),
+        rule(this::overfull, this::stepDown),
+        rule(this::stranded, this::move),
+        rule(this::underused, this::stepUp));
+
+    public Control(Settings settings, long seed, long time, Gateway gateway) {
+        this.settings = settings;
+        this.gateway = gateway;
+        this.now = time;
+        this.startedAt = time;
+        chance = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
+        settings.tenants.keySet().forEach(t -> arrivals.add(new Samples(64)));
+    }
+
+    // What happens.
+
+    public void listed(long time, List<MediaHost> named, boolean whole) {
+        now = time;
+        if (whole) {
+            hosts.values().stream().filter(h -> !named.contains(h)).forEach(h -> h.state = MediaHost.State.GONE);
+        }
+        for (MediaHost host : named) {
+            hosts.put(host.id, host);
+            Rack rack = racks.computeIfAbsent(Math.floorMod(host.cell, settings.racks), Rack::new);
+            if (host.rack != rack) {
+                if (host.rack != null) {
+                    host.rack.hosts.remove(host);
+                }
+                rack.hosts.add(host);
+                host.rack = rack;
+            }
+        }
+        settle();
+    }
+
+    public void listFailed(long time) {
+        now = time;
+        followedAt = Math.min(followedAt, time - settings.listAskWithin);
+        settle();
+    }
+
+    public void requested(long time, Playback pb) {
+        now = time;
+        taken.add(now, 1);
+        pb.rung = pb.plan.floor;
+        if (pb.tenant >= 0) {
+            arrivals.get(pb.tenant).add(now, 1);
+            pb.overShare = overShare(pb.tenant);
+        }
+        open.add(pb);
+        settle();
+    }
+
+    public void handedOver(long time, Playback pb, MediaHost host) {
+        now = time;
+        beganWithDay = true;
+        pb.rung = pb.plan.floor;
+        SetupTry first = new SetupTry(pb, host, 0, now);
+        pb.tries.add(first);
+        host.carried.add(first);
+        begin(pb);
+        tally(host);
+        settle();
+    }
+
+    public void started(long time, SetupTry setupTry) {
+        now = time;
+        setupTry.host.failures.add(now, 0);
+        if (setupTry.host.failureSeen) {
+            // It may have started at any time up to now: cold for as long as settings allow.
+            setupTry.host.failureSeen = false;
+            setupTry.host.coldUntil = now + settings.coldTime;
+        }
+        open.remove(setupTry.playback);
+        begin(setupTry.playback);
+        settle();
+    }
+
+    public void cameBack(long time, SetupTry setupTry, Verdict verdict, boolean finished, double link,
+            double uplink) {
+        now = time;
+        MediaHost host = setupTry.host;
+        boolean wasPlaying = setupTry.playback.playing;
+        setupTry.verdict = verdict;
+        host.carried.remove(setupTry);
+        tally(host);
+        takeReport(host, link, uplink, now - REPORT_AGE);
+        if (verdict == Verdict.NO_CONNECTION || verdict == Verdict.BROKEN) {
+            host.failureSeen = true;
+        }
+        if (BLAMED.contains(verdict) && !(wasPlaying && verdict != Verdict.BROKEN)) {
+            host.failures.add(now, 1);
+        }
+        playing.remove(setupTry.playback);
+        if (finished || wasPlaying) {
+            over(setupTry.playback);
+        }
+        settle();
+    }
+
+    public void left(long time, Playback pb) {
+        now = time;
+        over(pb);
+        settle();
+    }
+
+    public void delivered(long time, SetupTry setupTry, double share) {
+        now = time;
+        MediaHost host = setupTry.host;
+        host.delivered.add(now - settings.noteDelay, Math.max(share, 0.05));
+        boolean rackToo = host.rack.hosts.stream().filter(h -> h != host).anyMatch(h -> shortLoad(h) > 0);
+        if (share < FULL_SHARE && rackToo && linkLoad(host) < 1 && settings.uplink > 0) {
+            host.rack.found.add(now, Math.min(1, rackAsked(host.rack) / settings.uplink * share));
+        }
+        settle();
+    }
+
+    public void rungTold(long time, SetupTry setupTry, int rung) {
+        now = time;
+        setupTry.playback.rung = rung;
+        tally(setupTry.host);
+        settle();
+    }
+
+    public void loadTold(long time, SetupTry setupTry, double link, double uplink) {
+        now = time;
+        boolean fresh = now - setupTry.playback.playingSince < settings.noteDelay / 2;
+        takeReport(setupTry.host, link, uplink, fresh ? now : now - settings.noteDelay);
+        settle();
+    }
+
+    public void probed(long time, MediaHost host, Verdict verdict, double link, double uplink) {
+        now = time;
+        host.probeOut = false;
+        takeReport(host, link, uplink, now - REPORT_AGE);
+        if (verdict == Verdict.NO_CONNECTION || verdict == Verdict.BROKEN) {
+            host.failureSeen = true;
+        }
+        if (verdict != Verdict.OK) {
+            host.failures.add(now, 1);
+        }
+        open.forEach(pb -> pb.waitUntil = Math.min(pb.waitUntil, now));
+        settle();
+    }
+
+    public void heard(long time, int from, byte[] data) {
+        now = time;
+        settle();
+    }
+
+    public void bell(long time) {
+        now = time;
+        settle();
+    }
+
+    // The rules' machinery.
+
+    private static <T> BooleanSupplier rule(Supplier<T> condition, Consumer<T> effect) {
+        return () -> {
+            T subject = condition.get();
+            if (subject == null) {
+                return false;
+            }
+            effect.accept(subject);
+            return true;
+        };
+    }
+
+    private void settle() {
+        priceAt = Long.MIN_VALUE;
+        while (rules.stream().anyMatch(BooleanSupplier::getAsBoolean)) {
+            priceAt = Long.MIN_VALUE;
+        }
+    }
+
+    // Where the list must be asked for, a standing subscription is kept.
+
+    private Settings unfollowed() {
+        return settings.listOnRequest && (followedAt == Long.MIN_VALUE
+            || now - followedAt >= settings.listAskWithin) ? settings : null;
+    }
+
+    private void follow(Settings s) {
+        followedAt = now;
+        gateway.followList(true);
+    }
+
+    /** How often waiting playbacks and loads are looked at again: well under any startup target. */
+    private static final long BEAT = 50_000_000;
+
+    private Settings unwoken() {
+        return now >= wakeAt ? settings : null;
+    }
+
+    private void wake(Settings s) {
+        wakeAt = now + BEAT;
+        gateway.wakeAt(wakeAt);
+    }
+
+    // Rule 4: a media host that may be cold takes a few set-ups at a time, gateways taking turns.
+
+    private MediaHost restarted() {
+        return first(hosts.values(), h -> h.startedAt > h.startSeen);
+    }
+
+    private void treatAsCold(MediaHost host) {
+        host.startSeen = host.startedAt;
+        host.failureSeen = false;
+        host.coldUntil = Math.max(host.coldUntil, host.startedAt + settings.coldTime);
+    }
+
+    /** A gateway that did not begin with the day has an old list: any media host may be cold. */
+    private boolean cold(MediaHost host) {
+        return host.failureSeen || now < host.coldUntil
+            || !beganWithDay && now < startedAt + settings.coldTime;
+    }
+
+    /** Part of the told limit that is used: a set-up may weigh more than the usual one. */
+    private static final double COLD_PART = 0.6;
+
+    /**
+     * Whether the pace allows a set-up now. Time is cut into slots that belong to one gateway each, by
+     * number. Any window of the told length meets two slots at most, so each slot gets half of what the
+     * window may hold at the lowest warmth; where that is under one, only a slot's first half is used.
+     */
+    private boolean paceAllows(MediaHost host) {
+        if (!cold(host)) {
+            return true;
+        }
+        double places = settings.places.getOrDefault(host.kind, 1.0);
+        double window = settings.fallMultiple * places / Math.max(1, settings.coldTime) * settings.coldShare
+            * settings.fallTime * COLD_PART;
+        boolean halves = window < 2;
+        long slot = Math.max(1, settings.fallTime) * (halves ? 2 : 1);
+        long begin = now - Math.floorMod(now, slot);
+        return Math.floorMod(now / slot, settings.gateways) == settings.me
+            && (!halves || now - begin < slot / 2)
+            && host.sent.since(begin) < Math.max(1, (int) (window / 2));
+    }
+
+    // Rules 1 and 2: one answer, in time; nothing set up twice that must not be.
+
+    /** Verdicts that prove that the try never ran. */
+    private static final Set<Verdict> NEVER_RAN =
+        EnumSet.of(Verdict.FULL, Verdict.NO_CONNECTION, Verdict.NOT_SENT);
+    /** Time kept before the abandon time: a few rounds of the wire. */
+    private static final long MARGIN = 40_000_000;
+
+    private SetupTry mayHaveRun(Playback pb) {
+        return first(pb.tries, t -> t.verdict == null || !NEVER_RAN.contains(t.verdict));
+    }
+
+    /** When a playback that does not play yet is given up: worth nothing past its startup target. */
+    private long giveUpAt(Playback pb) {
+        return Math.min(pb.arrivedAt + pb.plan.startupTarget, pb.abandonAt - MARGIN);
+    }
+
+    private Playback outOfTime() {
+        return first(open, pb -> now >= giveUpAt(pb));
+    }
+
+    /** The final answer: a rejection where the plan allows the viewer to come again, else a failure. */
+    private void answer(Playback pb) {
+        SetupTry ran = mayHaveRun(pb);
+        boolean rejectable = ran == null || pb.plan.effect == Plan.Effect.REPEATABLE
+            || pb.plan.effect == Plan.Effect.BY_KEY && pb.plan.scope == Plan.Scope.ALL;
+        if (pb.onHost() && settings.mayWithdraw) {
+            gateway.withdraw(pb.lastTry());
+        }
+        over(pb);
+        if (rejectable) {
+            gateway.reject(pb, settings.mayNameComeBack ? Math.min(COME_BACK, settings.longestComeBack) : 0);
+        } else {
+            gateway.fail(pb);
+        }
+    }
+
+    /** Long enough for a playback to end somewhere or a report to arrive. */
+    private static final long COME_BACK = 500_000_000;
+
+    private boolean mayTry(Playback pb, MediaHost host) {
+        SetupTry ran = mayHaveRun(pb);
+        boolean again = switch (pb.plan.effect) {
+            case REPEATABLE -> true;
+            case ONCE -> ran == null;
+            case BY_KEY -> ran == null || now <= ran.sentAt + pb.plan.keyWindow
+                && (pb.plan.scope != Plan.Scope.ZONE || ran.host.zone.equals(host.zone))
+                && (pb.plan.scope != Plan.Scope.CELL || ran.host.cell == host.cell);
+        };
+        return again && !pb.onHost() && host.state == MediaHost.State.ACTIVE && paceAllows(host);
+    }
+
+    /** Rule 6: further tries within their budget. */
+    private boolean withinBudget(Playback pb) {
+        if (pb.tries.isEmpty() || settings.extraFloor < 0) {
+            return true;
+        }
+        int sent = further.since(now - settings.extraWindow);
+        int asked = taken.since(Math.max(startedAt, now - settings.extraWindow));
+        return sent < 256 && sent + 1 <= settings.extraFloor + settings.extraPerPlayback * asked;
+    }
+
+    /** Rule 5: seats, counted from the set-up to its end. */
+    private boolean seatFree(Playback pb) {
+        long held = hosts.values().stream().flatMap(h -> h.carried.stream())
+            .filter(t -> t.playback.plan == pb.plan && t.playback.title == pb.title).count();
+        return pb.plan.seats <= 0 || held < pb.plan.seats;
+    }
+
+    // Health: a share of failures well over the fleet's median, and for how long it is passed over.
+
+    private static final Set<Verdict> BLAMED =
+        EnumSet.of(Verdict.ERROR, Verdict.TIMEOUT, Verdict.NO_CONNECTION, Verdict.BROKEN);
+    /** How long failures count: about as long as troubles last. */
+    private static final long FAILURE_LIFE = 15_000_000_000L;
+    /** One try of the share over the median: one failure alone is enough, one of several is not. */
+    private static final double ILL_OVER = 0.3;
+    /** After so long without a failure one playback at a time tries it again. */
+    private static final long TRIAL_AFTER = 3_000_000_000L;
+
+    private double failureShare(MediaHost host) {
+        int n = host.failures.since(now - FAILURE_LIFE);
+        double sum = 0;
+        for (int i = 0; i < n; i++) {
+            sum += host.failures.value(i);
+        }
+        return sum / (n + 1);
+    }
+
+    private boolean ill(MediaHost host, double median) {
+        if (failureShare(host) <= median + ILL_OVER) {
+            return false;
+        }
+        boolean tryOut = host.carried.stream().anyMatch(t -> !t.playback.playing);
+        return tryOut || now - host.failures.time(0) < TRIAL_AFTER;
+    }
+
+    private double medianFailure() {
+        double[] shares = hosts.values().stream().filter(h -> h.state == MediaHost.State.ACTIVE)
+            .mapToDouble(this::failureShare).sorted().toArray();
+        return shares.length == 0 ? 0 : shares[shares.length / 2];
+    }
+
+    // Load: the freshest reports, corrected by this gateway's own changes since.
+
+    /** Marks of the design page. */
+    private static final double T_LOW = 0.6;
+    private static final double T_HIGH = 0.85;
+    private static final double P_MAX = 0.5;
+    /** Reports in answers are refreshed some times a second and arrive late. */
+    private static final long REPORT_AGE = 400_000_000;
+    /** A report's weight falls to none over this time: a quarter of a usual playback has changed. */
+    private static final long REPORT_LIFE = 10_000_000_000L;
+    /** Short delivery is told each second while it lasts; after three without word it is over. */
+    private static final long SHORT_LIFE = 3_000_000_000L;
+    /** Under this share of the rate viewers notice. */
+    private static final double FULL_SHARE = 0.98;
+
+    private void takeReport(MediaHost host, double link, double uplink, long at) {
+        if (!Double.isNaN(link)) {
+            host.load.add(at, link);
+        }
+        if (!Double.isNaN(uplink)) {
+            host.rack.load.add(at, uplink);
+        }
+    }
+
+    private double link(MediaHost host) {
+        return Math.max(1, host.rating * settings.linkPerRating);
+    }
+
+    private static double newest(Samples own) {
+        return own.size() == 0 ? 0 : own.value(0);
+    }
+
+    /** Mean of the last reports brought up to now; the guess takes over as they age. */
+    private double told(Samples load, Samples own, double capacity, double guess) {
+        int n = load.since(now - REPORT_LIFE);
+        if (n == 0) {
+            return guess;
+        }
+        double sum = 0;
+        double weights = 0;
+        for (int i = 0; i < n; i++) {
+            double weight = 1 - (double) (now - load.time(i)) / REPORT_LIFE;
+            sum += weight * (load.value(i) + (newest(own) - own.at(load.time(i))) / capacity);
+            weights += weight;
+        }
+        double trust = 1 - (double) (now - load.time(0)) / REPORT_LIFE;
+        return Math.max(0, trust * sum / Math.max(weights, 1e-9) + (1 - trust) * guess);
+    }
+
+    /** Link use without reports: own playbacks, and as much again on average for each other gateway. */
+    private double guess(MediaHost host) {
+        double mean = hosts.values().stream().filter(h -> h.state == MediaHost.State.ACTIVE)
+            .mapToDouble(h -> newest(h.own)).average().orElse(0);
+        return (newest(host.own) + (settings.gateways - 1) * mean) / link(host);
+    }
+
+    private double linkLoad(MediaHost host) {
+        return told(host.load, host.own, link(host), guess(host));
+    }
+
+    /** What is asked over what arrives while delivery is short, else 0; all gateways ease off alike. */
+    private double shortLoad(MediaHost host) {
+        if (host.delivered.since(now - settings.noteDelay - SHORT_LIFE) == 0
+            || host.delivered.value(0) >= FULL_SHARE) {
+            return 0;
+        }
+        double then = host.own.at(host.delivered.time(0));
+        return 1 / host.delivered.value(0) * (then > 0 ? Math.min(1, newest(host.own) / then) : 1);
+    }
+
+    private double load(MediaHost host) {
+        return Math.max(linkLoad(host), shortLoad(host));
+    }
+
+    private double rackAsked(Rack rack) {
+        return rack.hosts.stream().filter(h -> h.state != MediaHost.State.GONE)
+            .mapToDouble(h -> linkLoad(h) * link(h)).sum();
+    }
+
+    private double rackLoad(Rack rack) {
+        if (settings.uplink <= 0) {
+            return 0;
+        }
+        double found = rack.found.since(now - REPORT_LIFE) > 0 ? rack.found.value(0) : 1;
+        double guess = rackAsked(rack) / settings.uplink / Math.max(found, 0.1);
+        return told(rack.load, rack.own, settings.uplink, guess);
+    }
+
+    /** What the playbacks of this gateway ask of a media host; a joined one adds its share. */
+    private void tally(MediaHost host) {
+        double sum = 0;
+        for (int i = 0; i < host.carried.size(); i++) {
+            Playback pb = host.carried.get(i).playback;
+            sum += rate(pb, pb.rung) * (joins(pb, host, pb.rung, i) ? settings.joinShare : 1);
+        }
+        double before = newest(host.own);
+        host.own.add(now, sum);
+        host.rack.own.add(now, newest(host.rack.own) + sum - before);
+    }
+
+    private double rate(Playback pb, int rung) {
+        return settings.ladder[rung] * pb.plan.rateFactor;
+    }
+
+    /** Whether one of the first so many carried there has a stream that the playback would share. */
+    private boolean joins(Playback pb, MediaHost host, int rung, int upTo) {
+        return pb.plan.live && host.carried.stream().limit(upTo).map(t -> t.playback)
+            .anyMatch(o -> o != pb && o.title == pb.title && o.plan == pb.plan && o.rung == rung);
+    }
+
+    private double added(Playback pb, MediaHost host, int rung) {
+        return rate(pb, rung) * (joins(pb, host, rung, host.carried.size()) ? settings.joinShare : 1);
+    }
+
+    private boolean room(MediaHost host, double kb, double mark) {
+        return load(host) + kb / link(host) <= mark
+            && (settings.uplink <= 0 || rackLoad(host.rack) + kb / settings.uplink <= mark);
+    }
+
+    // What a step of rung is worth, and the price at which the fleet would be full.
+
+    /** Revenue a second per kB of the step up to that rung, joined viewers counted together. */
+    private double stepValue(Playback pb, int rung) {
+        long joined = !pb.plan.live ? 1 : Math.max(1, playing.stream()
+            .filter(o -> o.title == pb.title && o.plan == pb.plan).count());
+        double share = (1 + settings.joinShare * (joined - 1)) / joined;
+        double kb = (rate(pb, rung) - rate(pb, rung - 1)) * share;
+        double revenue = pb.plan.revenue * (pb.overShare ? settings.overShareRevenue : 1);
+        return revenue * (settings.rungRevenue[rung] - settings.rungRevenue[rung - 1]) / Math.max(kb, 1e-9);
+    }
+
+    /** Departure: each set-up at the top rung would leave none for the next. See docs/design.md, fair rung. */
+    private double price() {
+        if (priceAt == now) {
+            return price;
+        }
+        priceAt = now;
+        double links = 0;
+        double asked = 0;
+        double own = 0;
+        for (MediaHost host : hosts.values()) {
+            if (host.state == MediaHost.State.ACTIVE) {
+                links += link(host);
+                asked += linkLoad(host) * link(host);
+                own += newest(host.own);
+            }
+        }
+        double uplinks = racks.values().stream().mapToDouble(this::rackLoad).average().orElse(0);
+        double allowed = own * T_HIGH / Math.max(Math.max(asked / Math.max(links, 1), uplinks), 1e-3);
+        List<double[]> steps = new ArrayList<>();
+        for (Playback pb : playing) {
+            double worst = Double.MAX_VALUE;
+            double share = pb.plan.live ? settings.joinShare : 1;
+            allowed -= rate(pb, pb.plan.floor) * share;
+            for (int r = pb.plan.floor + 1; r <= highest(pb); r++) {
+                worst = Math.min(worst, stepValue(pb, r));
+                steps.add(new double[] {worst, (rate(pb, r) - rate(pb, r - 1)) * share});
+            }
+        }
+        steps.sort(Comparator.comparingDouble(s -> -s[0]));
+        price = 0;
+        for (double[] step : steps) {
+            allowed -= step[1];
+            if (allowed < 0) {
+                price = step[0];
+                break;
+            }
+        }
+        return price;
+    }
+
+    private int highest(Playback pb) {
+        int most = Math.min(Math.min(pb.ceiling, pb.plan.top), settings.ladder.length - 1);
+        return Math.max(most, pb.plan.floor);
+    }
+
+    private int fairRung(Playback pb) {
+        int rung = pb.plan.floor;
+        while (rung < highest(pb) && stepValue(pb, rung + 1) >= price()) {
+            rung++;
+        }
+        return rung;
+    }
+
+    private boolean overShare(int tenant) {
+        double allowance = settings.allowance[tenant];
+        double rate = arrivals.get(tenant).since(now - REPORT_LIFE) * 1e9 / REPORT_LIFE;
+        return allowance > 0 && now - startedAt > REPORT_LIFE && rate * settings.gateways > allowance;
+    }
+
+    // The ordinary path.
+
+    private Playback unplaced() {
+        return first(open, pb -> !pb.onHost() && now >= pb.waitUntil);
+    }
+
+    /** Holders that may be sent this playback, home first: own zone, then a hash that all gateways share. */
+    private List<MediaHost> holders(Playback pb) {
+        List<MediaHost> found = new ArrayList<>();
+        for (MediaHost host : hosts.values()) {
+            int away = Math.floorMod(host.cell - pb.title.first, settings.cells);
+            if (host.state == MediaHost.State.ACTIVE && away < pb.title.copies) {
+                found.add(host);
+            }
+        }
+        found.sort(Comparator.comparing((MediaHost h) -> !h.zone.equals(settings.zone))
+            .thenComparingLong(h -> hash(pb.title.key, h.id)));
+        return found;
+    }
+
+    private static long hash(String key, long id) {
+        long h = id * 0x9E3779B97F4A7C15L;
+        for (int i = 0; i < key.length(); i++) {
+            h = (h ^ key.charAt(i)) * 0xBF58476D1CE4E5B9L;
+            h ^= h >>> 29;
+        }
+        return h;
+    }
+
+    private void place(Playback pb) {
+        List<MediaHost> all = holders(pb);
+        double median = medianFailure();
+        List<MediaHost> untried = all.stream()
+            .filter(h -> pb.tries.stream().noneMatch(t -> t.host == h)).toList();
+        List<MediaHost> well = untried.stream().filter(h -> mayTry(pb, h) && !ill(h, median)).toList();
+        if (well.isEmpty()) {
+            // Every holder is ill or tried: the least bad is better than a rejection.
+            well = all.stream().filter(h -> mayTry(pb, h) && shortLoad(h) == 0)
+                .sorted(Comparator.comparingDouble(this::failureShare)).limit(1).toList();
+        }
+        int top = fairRung(pb);
+        MediaHost host = well.isEmpty() || pb.tries.size() >= settings.mostTries || !withinBudget(pb)
+            || !seatFree(pb) ? null : choose(pb, well, top);
+        if (host == null) {
+            answer(pb);
+        } else if (wantsProbe(pb, host)) {
+            pb.probed = true;
+            pb.waitUntil = now + PROBE_WAIT;
+            host.probedAt = now;
+            host.probeOut = true;
+            gateway.probe(host);
+        } else {
+            send(pb, host, rungAt(pb, host, top));
+        }
+    }
+
+    /** A probe takes a round trip; one that takes longer than this is not waited for. */
+    private static final long PROBE_WAIT = 100_000_000;
+    /** Probes are priced: none where a report is younger than this. */
+    private static final long PROBE_AGE = 3_000_000_000L;
+
+    private boolean wantsProbe(Playback pb, MediaHost host) {
+        return settings.mayProbe && settings.reportsOnProbe && !pb.probed && !host.probeOut
+            && host.load.since(now - PROBE_AGE) == 0 && now - host.probedAt > PROBE_AGE;
+    }
+
+    private MediaHost choose(Playback pb, List<MediaHost> well, int top) {
+        MediaHost home = well.get(0);
+        int joinAt = joinRung(pb, home);
+        if (joinAt >= 0 && room(home, added(pb, home, joinAt), T_HIGH)) {
+            return home;
+        }
+        boolean homeHasRoom = room(home, added(pb, home, top), T_HIGH);
+        double l = load(home);
+        double p = l < T_LOW ? 0 : P_MAX * Math.min(1, (l - T_LOW) / (T_HIGH - T_LOW));
+        if (homeHasRoom && chance.nextDouble() >= p) {
+            return home;
+        }
+        for (int rung = top; rung >= pb.plan.floor; rung--) {
+            int b = rung;
+            List<MediaHost> roomy = well.stream().filter(h -> (h != home || b < top)
+                && room(h, added(pb, h, b), T_HIGH)).toList();
+            List<MediaHost> light = roomy.stream()
+                .filter(h -> load(h) < T_LOW || joins(pb, h, b, h.carried.size())).toList();
+            MediaHost least = (light.isEmpty() ? roomy : light).stream()
+                .min(Comparator.comparingDouble(h -> added(pb, h, b) / (link(h) * (1 - load(h))))).orElse(null);
+            if (least != null) {
+                return least;
+            }
+            if (homeHasRoom) {
+                return home;
+            }
+        }
+        // Departure: own playbacks above their fair rung make room for one more at the lowest.
+        return first(well, h -> room(h, added(pb, h, pb.plan.floor) - relief(h), T_HIGH));
+    }
+
+    private double relief(MediaHost host) {
+        return host.carried.stream().map(t -> t.playback)
+            .mapToDouble(o -> Math.max(0, rate(o, o.rung) - rate(o, Math.min(o.rung, fairRung(o))))).sum();
+    }
+
+    /** The highest rung at which the playback would share a stream there, or -1. */
+    private int joinRung(Playback pb, MediaHost host) {
+        for (int rung = highest(pb); rung >= pb.plan.floor; rung--) {
+            if (joins(pb, host, rung, host.carried.size())) {
+                return rung;
+            }
+        }
+        return -1;
+    }
+
+    private int rungAt(Playback pb, MediaHost host, int top) {
+        int joinAt = joinRung(pb, host);
+        if (joinAt >= 0 && room(host, added(pb, host, joinAt), T_HIGH)) {
+            return joinAt;
+        }
+        int rung = top;
+        while (rung > pb.plan.floor && !room(host, added(pb, host, rung), T_HIGH)) {
+            rung--;
+        }
+        return rung;
+    }
+
+    /** Part of the time left that a try gets while another may follow: one more fits after it. */
+    private static final double TRY_PART = 0.45;
+
+    private void send(Playback pb, MediaHost host, int rung) {
+        if (rung != pb.rung) {
+            pb.rung = rung;
+            gateway.setRung(pb, rung);
+        }
+        if (!pb.tries.isEmpty()) {
+            further.add(now, 1);
+        }
+        long left = giveUpAt(pb) - now;
+        boolean last = pb.tries.size() + 1 >= settings.mostTries || pb.plan.effect == Plan.Effect.ONCE;
+        SetupTry setupTry = new SetupTry(pb, host, pb.tries.size(), now);
+        pb.tries.add(setupTry);
+        pb.rungSince = now;
+        host.carried.add(setupTry);
+        host.sent.add(now, 1);
+        tally(host);
+        gateway.setUp(pb, host, Math.max(1, last ? left : (long) (left * TRY_PART)));
+    }
+
+    private void begin(Playback pb) {
+        pb.answered = true;
+        pb.playing = true;
+        pb.playingSince = now;
+        pb.rungSince = now;
+        playing.add(pb);
+    }
+
+    private void over(Playback pb) {
+        pb.answered = true;
+        open.remove(pb);
+    }
+
+    // Departures while playing: short delivery costs far more than a lower rung.
+
+    /** Step down above this: beyond it the spread of true rates makes delivery short. */
+    private static final double STEP_DOWN_AT = 0.95;
+    /** Step up only where the step leaves this much free, so that it is not taken back. */
+    private static final double STEP_UP_TO = 0.75;
+    /** A rung is kept at least so long before a step up: several times what a step costs. */
+    private static final long STEP_UP_AFTER = 6_000_000_000L;
+
+    private boolean overfull(MediaHost host) {
+        return load(host) > STEP_DOWN_AT || rackLoad(host.rack) > STEP_DOWN_AT;
+    }
+
+    private List<Playback> overfull() {
+        List<Playback> cheapest = null;
+        double least = Double.MAX_VALUE;
+        for (Playback pb : playing) {
+            if (pb.rung > pb.plan.floor && !pb.moving && pb.rung < settings.ladder.length
+                && stepValue(pb, pb.rung) < least && overfull(pb.lastTry().host)) {
+                least = stepValue(pb, pb.rung);
+                cheapest = group(pb);
+            }
+        }
+        return cheapest;
+    }
+
+    /** Those that share the playback's stream, which step together. */
+    private List<Playback> group(Playback pb) {
+        return playing.stream().filter(o -> o == pb || pb.plan.live && o.plan == pb.plan && o.rung == pb.rung
+            && o.title == pb.title && o.lastTry().host == pb.lastTry().host && !o.moving).toList();
+    }
+
+    private void stepDown(List<Playback> group) {
+        step(group, group.get(0).rung - 1);
+    }
+
+    private void step(List<Playback> group, int rung) {
+        for (Playback pb : group) {
+            pb.rung = rung;
+            pb.rungSince = now;
+            gateway.setRung(pb, rung);
+        }
+        tally(group.get(0).lastTry().host);
+    }
+
+    private List<Playback> underused() {
+        for (Playback pb : playing) {
+            if (pb.rung < fairRung(pb) && now - pb.rungSince >= STEP_UP_AFTER && !pb.moving
+                && left(pb) > STEP_UP_AFTER) {
+                List<Playback> group = group(pb).stream().filter(o -> highest(o) > pb.rung).toList();
+                MediaHost host = pb.lastTry().host;
+                double kb = (rate(pb, pb.rung + 1) - rate(pb, pb.rung))
+                    * (1 + settings.joinShare * (group.size() - 1));
+                if (shortLoad(host) == 0 && room(host, kb, STEP_UP_TO)) {
+                    return group;
+                }
+            }
+        }
+        return null;
+    }
+
+    private void stepUp(List<Playback> group) {
+        step(group, group.get(0).rung + 1);
+    }
+
+    /** Time the playback may go on: by its hint, else as if half over. */
+    private long left(Playback pb) {
+        return pb.hint > 0 ? pb.hint - (now - pb.playingSince) : USUAL_LEFT;
+    }
+
+    /** Without a hint a playback is taken to last this long yet: half of some tens of seconds. */
+    private static final long USUAL_LEFT = 20_000_000_000L;
+    /** Below this share nothing of a playback's revenue is left, whatever its rung. */
+    private static final double LOST_SHARE = 0.7;
+    /** Moves are spaced so that the next is decided on the load that the last one left. */
+    private static final long MOVE_GAP = 300_000_000;
+
+    /** A playback at its lowest rung that still gets far too little, with another holder that has room. */
+    private Playback stranded() {
+        return now - movedAt < MOVE_GAP ? null : first(playing, pb -> {
+            MediaHost host = pb.lastTry().host;
+            boolean starved = shortLoad(host) > 0 && host.delivered.value(0) < LOST_SHARE
+                && host.delivered.size() > 1 && host.delivered.value(1) < LOST_SHARE;
+            return starved && !pb.moving && !pb.moved && left(pb) > USUAL_LEFT / 2
+                && (pb.rung == pb.plan.floor || host.delivered.value(0) < LOST_SHARE / 2)
+                && holders(pb).stream().anyMatch(h -> h != host && mayTryNew(h)
+                    && room(h, added(pb, h, pb.rung), T_HIGH));
+        });
+    }
+
+    private boolean mayTryNew(MediaHost host) {
+        return !cold(host) && !ill(host, medianFailure());
+    }
+
+    private void move(Playback pb) {
+        pb.moving = true;
+        movedAt = now;
+        gateway.move(pb);
+    }
+
+    private static <T> T first(Iterable<T> items, java.util.function.Predicate<T> wanted) {
+        for (T item : items) {
+            if (wanted.test(item)) {
+                return item;
+            }
+        }
+        return null;
+    }
+}
--- /dev/null
+++ b/src/main/java/cypressvalve/model/MediaHost.java
@@ -0,0 +1,44 @@
+package cypressvalve.model;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** A media host as the list tells of it, and what this gateway saw of it. */
+public final class MediaHost {
+    /** What the list says of it. */
+    public enum State { ACTIVE, DRAINING, GONE }
+
+    public final long id;
+    public State state = State.ACTIVE;
+    public double rating = 1;
+    public long startedAt;
+    public int cell;
+    public String kind = "";
+    public String zone = "";
+
+    public Rack rack;
+    /** The start that the decisions have taken in. */
+    public long startSeen;
+    /** Until then it may be cold. */
+    public long coldUntil = Long.MIN_VALUE;
+    /** This gateway saw it fail and has not been told of a start since. */
+    public boolean failureSeen;
+    /** Times at which this gateway sent set-ups to it. */
+    public final Samples sent = new Samples(64);
+    /** Results of set-ups: 1 for a failure, 0 for a success. */
+    public final Samples failures = new Samples(8);
+    /** What was asked of its link over what the link gives, as told. */
+    public final Samples load = new Samples(4);
+    /** The share of the rate that arrived, as told. */
+    public final Samples delivered = new Samples(4);
+    /** What this gateway's own playbacks ask of it, kB a second. */
+    public final Samples own = new Samples(64);
+    public long probedAt = Long.MIN_VALUE / 2;
+    public boolean probeOut;
+    /** Tries out or playing here. */
+    public final List<SetupTry> carried = new ArrayList<>();
+
+    public MediaHost(long id) {
+        this.id = id;
+    }
+}
--- /dev/null
+++ b/src/main/java/cypressvalve/model/Rack.java
@@ -0,0 +1,20 @@
+package cypressvalve.model;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** Media hosts that share an uplink. */
+public final class Rack {
+    public final int number;
+    public final List<MediaHost> hosts = new ArrayList<>();
+    /** What was asked of the uplink over what it gives, as told. */
+    public final Samples load = new Samples(4);
+    /** What this gateway's own playbacks ask of it, kB a second. */
+    public final Samples own = new Samples(64);
+    /** What the uplink was found to give, over what was told. */
+    public final Samples found = new Samples(4);
+
+    public Rack(int number) {
+        this.number = number;
+    }
+}
--- /dev/null
+++ b/src/main/java/cypressvalve/model/Samples.java
@@ -0,0 +1,54 @@
+package cypressvalve.model;
+
+/** The last few measurements of one thing, each with its time; index 0 is the newest. */
+public final class Samples {
+    private final long[] times;
+    private final double[] values;
+    private int count;
+
+    public Samples(int kept) {
+        times = new long[kept];
+        values = new double[kept];
+    }
+
+    public void add(long time, double value) {
+        times[count % times.length] = time;
+        values[count % times.length] = value;
+        count++;
+    }
+
+    public int size() {
+        return Math.min(count, times.length);
+    }
+
+    public long time(int back) {
+        return times[(count - 1 - back) % times.length];
+    }
+
+    public double value(int back) {
+        return values[(count - 1 - back) % times.length];
+    }
+
+    /** How many are of that time or later. */
+    public int since(long time) {
+        int n = 0;
+        while (n < size() && time(n) >= time) {
+            n++;
+        }
+        return n;
+    }
+
+    /** The value in force at that time: the newest not after it, else the oldest kept, else 0. */
+    public double at(long time) {
+        for (int i = 0; i < size(); i++) {
+            if (time(i) <= time) {
+                return value(i);
+            }
+        }
+        return size() == 0 ? 0 : value(size() - 1);
+    }
+
+    public void clear() {
+        count = 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/cypressvalve/model/Settings.java
@@ -0,0 +1,58 @@
+package cypressvalve.model;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** What a gateway is told at its start. */
+public final class Settings {
+    public int me;
+    public int gateways = 1;
+    public String zone = "";
+    public final List<Plan> plans = new ArrayList<>();
+    public final Map<String, Plan> plansByName = new LinkedHashMap<>();
+    public final Map<String, Integer> tenants = new LinkedHashMap<>();
+    /** Playbacks a second of each tenant inside its share, over all gateways; 0 if not told. */
+    public double[] allowance = {};
+    public double overShareRevenue = 1;
+    public double[] ladder = {1};
+    public double[] rungRevenue = {1};
+    public int cells = 1;
+    public int racks = 1;
+    public Map<String, Double> places = new LinkedHashMap<>();
+    public double linkPerRating;
+    public double uplink;
+    /** What a further viewer adds to a shared stream, as a part of the rate. */
+    public double joinShare = 1;
+    public double fullFrom;
+    public double stepSeconds;
+    /** Points of revenue lost for each point of the rate that does not arrive. */
+    public double shortLoss;
+    public long noteDelay;
+    public long notePeriod;
+    public boolean reportsInAnswers;
+    public boolean reportsOnProbe;
+    public List<String> reportFields = new ArrayList<>();
+    public boolean mayProbe;
+    public boolean mayTell;
+    public boolean mayWithdraw;
+    public boolean mayNameComeBack;
+    public long longestComeBack;
+    public int mostTries = Integer.MAX_VALUE;
+    public boolean listOnRequest;
+    public double movePrice;
+    public double probePrice;
+    public double zonePrice;
+    public long drainGrace;
+    public long coldTime;
+    public double coldShare = 1;
+    public double fallMultiple = Double.POSITIVE_INFINITY;
+    public long fallTime;
+    /** Budget of further tries: below 0 if none is stated. */
+    public double extraFloor = -1;
+    public double extraPerPlayback;
+    public long extraWindow;
+    public long listAskWithin;
+    public long tick;
+}
