--- a/src/main/java/cypressvalve/Control.java
+++ b/src/main/java/cypressvalve/Control.java
@@ -747,14 +747,17 @@
     // Departures while playing: short delivery costs far more than a lower rung.
 
     /** Step down above this: beyond it the spread of true rates makes delivery short. */
-    private static final double STEP_DOWN_AT = 0.95;
+    private static final double STEP_DOWN_AT = 1.0;
     /** Step up only where the step leaves this much free, so that it is not taken back. */
-    private static final double STEP_UP_TO = 0.75;
+    private static final double STEP_UP_TO = 0.7;
     /** A rung is kept at least so long before a step up: several times what a step costs. */
-    private static final long STEP_UP_AFTER = 6_000_000_000L;
+    private static final long STEP_UP_AFTER = 10_000_000_000L;
 
+    /** Told, not guessed: a step on a wrong guess costs as much and must be taken back. */
     private boolean overfull(MediaHost host) {
-        return load(host) > STEP_DOWN_AT || rackLoad(host.rack) > STEP_DOWN_AT;
+        return shortLoad(host) > STEP_DOWN_AT
+            || host.load.since(now - SHORT_LIFE) > 0 && linkLoad(host) > STEP_DOWN_AT
+            || host.rack.load.since(now - SHORT_LIFE) > 0 && rackLoad(host.rack) > STEP_DOWN_AT;
     }
 
     private List<Playback> overfull() {
