--- a/src/main/java/cypressvalve/Control.java
+++ b/src/main/java/cypressvalve/Control.java
@@ -1,22 +1,8 @@
 package cypressvalve;
 
-import cypressvalve.model.MediaHost;
-import cypressvalve.model.Plan;
-import cypressvalve.model.Playback;
-import cypressvalve.model.Rack;
-import cypressvalve.model.Samples;
-import cypressvalve.model.Settings;
-import cypressvalve.model.SetupTry;
-import cypressvalve.model.Verdict;
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.EnumSet;
-import java.util.List;
-import java.util.Set;
-import java.util.TreeMap;
-import java.util.function.BooleanSupplier;
-import java.util.function.Consumer;
-import java.util.function.Supplier;
+import cypressvalve.model.*;
+import java.util.*;
+import java.util.function.*;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
 
@@ -161,7 +147,7 @@
     public void delivered(long time, SetupTry setupTry, double share) {
         now = time;
         MediaHost host = setupTry.host;
-        host.delivered.add(now - settings.noteDelay, Math.max(share, 0.05));
+        host.delivered.add(now - settings.noteDelay - SMOOTHED, Math.max(share, 0.05));
         boolean rackToo = host.rack.hosts.stream().filter(h -> h != host).anyMatch(h -> shortLoad(h) > 0);
         if (share < FULL_SHARE && rackToo && linkLoad(host) < 1 && settings.uplink > 0) {
             host.rack.found.add(now, Math.min(1, rackAsked(host.rack) / settings.uplink * share));
@@ -407,6 +393,8 @@
     private static final long REPORT_LIFE = 10_000_000_000L;
     /** Short delivery is told each second while it lasts; after three without word it is over. */
     private static final long SHORT_LIFE = 3_000_000_000L;
+    /** The told share is smoothed: what is done in this time before does not show in it yet. */
+    private static final long SMOOTHED = 700_000_000;
     /** Under this share of the rate viewers notice. */
     private static final double FULL_SHARE = 0.98;
 
@@ -457,7 +445,7 @@
 
     /** What is asked over what arrives while delivery is short, else 0; all gateways ease off alike. */
     private double shortLoad(MediaHost host) {
-        if (host.delivered.since(now - settings.noteDelay - SHORT_LIFE) == 0
+        if (host.delivered.since(now - settings.noteDelay - SMOOTHED - SHORT_LIFE) == 0
             || host.delivered.value(0) >= FULL_SHARE) {
             return 0;
         }
@@ -678,13 +666,39 @@
                 return home;
             }
         }
-        // Departure: own playbacks above their fair rung make room for one more at the lowest.
-        return first(well, h -> room(h, added(pb, h, pb.plan.floor) - relief(h), T_HIGH));
+        return well.stream().sorted(Comparator.comparingDouble(this::load)).filter(h -> makeRoom(pb, h))
+            .findFirst().orElse(null);
     }
 
-    private double relief(MediaHost host) {
-        return host.carried.stream().map(t -> t.playback)
-            .mapToDouble(o -> Math.max(0, rate(o, o.rung) - rate(o, Math.min(o.rung, fairRung(o))))).sum();
+    /**
+     * Departure: no holder has room even at the lowest rung. Before a viewer is turned away, playing ones of
+     * this gateway give up steps that are worth less for their rate. Acts on any lack of room; it could harm
+     * where the load told is far too high.
+     */
+    private boolean makeRoom(Playback pb, MediaHost host) {
+        int rung = Math.max(pb.plan.floor, joinRung(pb, host));
+        double kb = added(pb, host, pb.plan.floor);
+        double value = pb.plan.revenue * settings.rungRevenue[rung] / Math.max(kb, 1);
+        boolean uplink = settings.uplink > 0 && rackLoad(host.rack) + kb / settings.uplink > T_HIGH;
+        List<Playback> yielding = new ArrayList<>(playing.stream().filter(o -> o.rung > o.plan.floor && !o.moving
+            && (uplink ? o.lastTry().host.rack == host.rack : o.lastTry().host == host)
+            && stepValue(o, o.rung) < value).sorted(Comparator.comparingDouble(o -> stepValue(o, o.rung))).toList());
+        double gain = yielding.stream().mapToDouble(o -> (rate(o, o.rung) - rate(o, o.plan.floor))
+            * (o.plan.live ? settings.joinShare : 1)).sum();
+        double over = Math.max((load(host) - T_HIGH) * link(host) + kb,
+            uplink ? (rackLoad(host.rack) - T_HIGH) * settings.uplink + kb : 0);
+        if (gain < over) {
+            return false;
+        }
+        for (Playback o : yielding) {
+            if (room(host, kb, T_HIGH)) {
+                return true;
+            }
+            if (o.rung > o.plan.floor) {
+                stepDown(group(o));
+            }
+        }
+        return room(host, kb, T_HIGH);
     }
 
     /** The highest rung at which the playback would share a stream there, or -1. */
@@ -847,7 +861,7 @@
         gateway.move(pb);
     }
 
-    private static <T> T first(Iterable<T> items, java.util.function.Predicate<T> wanted) {
+    private static <T> T first(Iterable<T> items, Predicate<T> wanted) {
         for (T item : items) {
             if (wanted.test(item)) {
                 return item;
