--- a/src/main/java/cypressvalve/Control.java
+++ b/src/main/java/cypressvalve/Control.java
@@ -124,7 +124,10 @@
         setupTry.verdict = verdict;
         host.carried.remove(setupTry);
         tally(host);
-        takeReport(host, link, uplink, now - REPORT_AGE);
+        if (host.load.since(now - SHORT_LIFE) == 0) {
+            // Reports in answers are noisy and late: taken only where no note has come of late.
+            takeReport(host, link, uplink, now - REPORT_AGE);
+        }
         if (verdict == Verdict.NO_CONNECTION || verdict == Verdict.BROKEN) {
             host.failureSeen = true;
         }
@@ -147,7 +150,7 @@
     public void delivered(long time, SetupTry setupTry, double share) {
         now = time;
         MediaHost host = setupTry.host;
-        host.delivered.add(now - settings.noteDelay - SMOOTHED, Math.max(share, 0.05));
+        host.asked.add(now - settings.noteDelay - SMOOTHED, 1 / Math.max(share, 0.05));
         boolean rackToo = host.rack.hosts.stream().filter(h -> h != host).anyMatch(h -> shortLoad(h) > 0);
         if (share < FULL_SHARE && rackToo && linkLoad(host) < 1 && settings.uplink > 0) {
             host.rack.found.add(now, Math.min(1, rackAsked(host.rack) / settings.uplink * share));
@@ -445,12 +448,7 @@
 
     /** What is asked over what arrives while delivery is short, else 0; all gateways ease off alike. */
     private double shortLoad(MediaHost host) {
-        if (host.delivered.since(now - settings.noteDelay - SMOOTHED - SHORT_LIFE) == 0
-            || host.delivered.value(0) >= FULL_SHARE) {
-            return 0;
-        }
-        double then = host.own.at(host.delivered.time(0));
-        return 1 / host.delivered.value(0) * (then > 0 ? Math.min(1, newest(host.own) / then) : 1);
+        return host.asked.size() == 0 || host.asked.value(0) <= 1 / FULL_SHARE ? 0 : eased(host.asked, host.own);
     }
 
     private double load(MediaHost host) {
@@ -761,7 +759,7 @@
     // Departures while playing: short delivery costs far more than a lower rung.
 
     /** Step down above this: beyond it the spread of true rates makes delivery short. */
-    private static final double STEP_DOWN_AT = 1.0;
+    private static final double STEP_DOWN_AT = 1.02;
     /** Step up only where the step leaves this much free, so that it is not taken back. */
     private static final double STEP_UP_TO = 0.7;
     /** A rung is kept at least so long before a step up: several times what a step costs. */
@@ -769,9 +767,20 @@
 
     /** Told, not guessed: a step on a wrong guess costs as much and must be taken back. */
     private boolean overfull(MediaHost host) {
-        return shortLoad(host) > STEP_DOWN_AT
-            || host.load.since(now - SHORT_LIFE) > 0 && linkLoad(host) > STEP_DOWN_AT
-            || host.rack.load.since(now - SHORT_LIFE) > 0 && rackLoad(host.rack) > STEP_DOWN_AT;
+        return Math.max(shortLoad(host), Math.max(eased(host.load, host.own),
+            eased(host.rack.load, host.rack.own))) > STEP_DOWN_AT;
+    }
+
+    /**
+     * The newest told load, less the part that this gateway has taken off since: each gateway eases off by
+     * the same part, so that together they take off the excess once and not once each.
+     */
+    private double eased(Samples load, Samples own) {
+        if (load.since(now - settings.noteDelay - SMOOTHED - SHORT_LIFE) == 0) {
+            return 0;
+        }
+        double then = own.at(load.time(0));
+        return load.value(0) * (then > 0 ? Math.min(1, newest(own) / then) : 1);
     }
 
     private List<Playback> overfull() {
@@ -842,10 +851,10 @@
     private Playback stranded() {
         return now - movedAt < MOVE_GAP ? null : first(playing, pb -> {
             MediaHost host = pb.lastTry().host;
-            boolean starved = shortLoad(host) > 0 && host.delivered.value(0) < LOST_SHARE
-                && host.delivered.size() > 1 && host.delivered.value(1) < LOST_SHARE;
+            boolean starved = shortLoad(host) > 0 && host.asked.value(0) > 1 / LOST_SHARE
+                && host.asked.size() > 1 && host.asked.value(1) > 1 / LOST_SHARE;
             return starved && !pb.moving && !pb.moved && left(pb) > USUAL_LEFT / 2
-                && (pb.rung == pb.plan.floor || host.delivered.value(0) < LOST_SHARE / 2)
+                && (pb.rung == pb.plan.floor || host.asked.value(0) > 2 / LOST_SHARE)
                 && holders(pb).stream().anyMatch(h -> h != host && mayTryNew(h)
                     && room(h, added(pb, h, pb.rung), T_HIGH));
         });
--- a/src/main/java/cypressvalve/model/MediaHost.java
+++ b/src/main/java/cypressvalve/model/MediaHost.java
@@ -29,8 +29,8 @@
     public final Samples failures = new Samples(8);
     /** What was asked of its link over what the link gives, as told. */
     public final Samples load = new Samples(4);
-    /** The share of the rate that arrived, as told. */
-    public final Samples delivered = new Samples(4);
+    /** What was asked for over what arrived, as the told share of delivery gives it; 1 if nothing is short. */
+    public final Samples asked = new Samples(4);
     /** What this gateway's own playbacks ask of it, kB a second. */
     public final Samples own = new Samples(64);
     public long probedAt = Long.MIN_VALUE / 2;
