--- a/src/main/java/cypressvalve/Control.java
+++ b/src/main/java/cypressvalve/Control.java
@@ -477,8 +477,8 @@
             sum += rate(pb, pb.rung) * (joins(pb, host, pb.rung, i) ? settings.joinShare : 1);
         }
         double before = newest(host.own);
-        host.own.add(now, sum);
-        host.rack.own.add(now, newest(host.rack.own) + sum - before);
+        host.own.set(now, sum);
+        host.rack.own.set(now, newest(host.rack.own) + sum - before);
     }
 
     private double rate(Playback pb, int rung) {
--- a/src/main/java/cypressvalve/model/MediaHost.java
+++ b/src/main/java/cypressvalve/model/MediaHost.java
@@ -32,7 +32,7 @@
     /** What was asked for over what arrived, as the told share of delivery gives it; 1 if nothing is short. */
     public final Samples asked = new Samples(4);
     /** What this gateway's own playbacks ask of it, kB a second. */
-    public final Samples own = new Samples(64);
+    public final Samples own = new Samples(128);
     public long probedAt = Long.MIN_VALUE / 2;
     public boolean probeOut;
     /** Tries out or playing here. */
--- a/src/main/java/cypressvalve/model/Rack.java
+++ b/src/main/java/cypressvalve/model/Rack.java
@@ -10,7 +10,7 @@
     /** What was asked of the uplink over what it gives, as told. */
     public final Samples load = new Samples(4);
     /** What this gateway's own playbacks ask of it, kB a second. */
-    public final Samples own = new Samples(64);
+    public final Samples own = new Samples(128);
     /** What the uplink was found to give, over what was told. */
     public final Samples found = new Samples(4);
 
--- a/src/main/java/cypressvalve/model/Samples.java
+++ b/src/main/java/cypressvalve/model/Samples.java
@@ -17,6 +17,14 @@
         count++;
     }
 
+    /** Adds a value, or replaces the newest if it is of the same time. */
+    public void set(long time, double value) {
+        if (count > 0 && time(0) == time) {
+            count--;
+        }
+        add(time, value);
+    }
+
     public int size() {
         return Math.min(count, times.length);
     }
