Steps down are rounded by chance to each gateway's part of the excess

Cause: with few playbacks on a link every gateway rounded its part up, and links fell from 1.2 to 0.5.

--- a/src/main/java/cypressvalve/Control.java
+++ b/src/main/java/cypressvalve/Control.java
@@ -150,6 +150,7 @@
     public void delivered(long time, SetupTry setupTry, double share) {
         now = time;
         MediaHost host = setupTry.host;
+        host.draw = chance.nextDouble();
         host.asked.add(now - settings.noteDelay - SMOOTHED, 1 / Math.max(share, 0.05));
         boolean rackToo = host.rack.hosts.stream().filter(h -> h != host).anyMatch(h -> shortLoad(h) > 0);
         if (share < FULL_SHARE && rackToo && linkLoad(host) < 1 && settings.uplink > 0) {
@@ -404,9 +405,11 @@
     private void takeReport(MediaHost host, double link, double uplink, long at) {
         if (!Double.isNaN(link)) {
             host.load.add(at, link);
+            host.draw = chance.nextDouble();
         }
         if (!Double.isNaN(uplink)) {
             host.rack.load.add(at, uplink);
+            host.rack.draw = chance.nextDouble();
         }
     }
 
@@ -766,9 +769,22 @@
     private static final long STEP_UP_AFTER = 10_000_000_000L;
 
     /** Told, not guessed: a step on a wrong guess costs as much and must be taken back. */
-    private boolean overfull(MediaHost host) {
-        return Math.max(shortLoad(host), Math.max(eased(host.load, host.own),
-            eased(host.rack.load, host.rack.own))) > STEP_DOWN_AT;
+    private boolean overfull(Playback pb) {
+        MediaHost host = pb.lastTry().host;
+        return overfull(Math.max(shortLoad(host), eased(host.load, host.own)), host.own, host.draw, pb)
+            || overfull(eased(host.rack.load, host.rack.own), host.rack.own, host.rack.draw, pb);
+    }
+
+    /**
+     * A step that takes off more than this gateway's part of the excess is made with a chance of that part
+     * over it, drawn once a report: few playbacks on a link make steps coarse, and gateways that all round
+     * up would leave it half empty.
+     */
+    private boolean overfull(double load, Samples own, double draw, Playback pb) {
+        double excess = newest(own) * (1 - 1 / Math.max(load, 1e-3));
+        List<Playback> group = group(pb);
+        double kb = (rate(pb, pb.rung) - rate(pb, pb.rung - 1)) * (1 + settings.joinShare * (group.size() - 1));
+        return load > STEP_DOWN_AT && excess > kb * draw;
     }
 
     /**
@@ -788,7 +804,7 @@
         double least = Double.MAX_VALUE;
         for (Playback pb : playing) {
             if (pb.rung > pb.plan.floor && !pb.moving && pb.rung < settings.ladder.length
-                && stepValue(pb, pb.rung) < least && overfull(pb.lastTry().host)) {
+                && stepValue(pb, pb.rung) < least && overfull(pb)) {
                 least = stepValue(pb, pb.rung);
                 cheapest = group(pb);
             }
