--- a/src/main/java/cypressvalve/Control.java
+++ b/src/main/java/cypressvalve/Control.java
@@ -5,6 +5,7 @@
 import java.util.function.*;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
+import java.util.stream.IntStream;
 
 /**
  * Every decision of one gateway. The caller tells what happens through the public methods, each with the
@@ -39,9 +40,9 @@
         rule(this::restarted, this::treatAsCold),
         rule(this::outOfTime, this::answer),
         rule(this::unplaced, this::place),
-        rule(this::overfull, this::stepDown),
+        rule(this::overfull, group -> step(group, -1)),
         rule(this::stranded, this::move),
-        rule(this::underused, this::stepUp));
+        rule(this::underused, group -> step(group, 1)));
 
     public Control(Settings settings, long seed, long time, Gateway gateway) {
         this.settings = settings;
@@ -52,35 +53,40 @@
         settings.tenants.keySet().forEach(t -> arrivals.add(new Samples(64)));
     }
 
-    // What happens.
+    // What happens: at() before each input, then the input, then settle().
 
-    public void listed(long time, List<MediaHost> named, boolean whole) {
+    public void at(long time) {
         now = time;
-        if (whole) {
-            hosts.values().stream().filter(h -> !named.contains(h)).forEach(h -> h.state = MediaHost.State.GONE);
+        priceAt = Long.MIN_VALUE;
+    }
+
+    public void settle() {
+        while (rules.stream().anyMatch(BooleanSupplier::getAsBoolean)) {
+            priceAt = Long.MIN_VALUE;
         }
+    }
+
+    public void listed(List<MediaHost> named, boolean whole) {
+        hosts.values().stream().filter(h -> whole && !named.contains(h))
+            .forEach(h -> h.state = MediaHost.State.GONE);
         for (MediaHost host : named) {
             hosts.put(host.id, host);
             Rack rack = racks.computeIfAbsent(Math.floorMod(host.cell, settings.racks), Rack::new);
+            if (host.rack != null && host.rack != rack) {
+                host.rack.hosts.remove(host);
+            }
             if (host.rack != rack) {
-                if (host.rack != null) {
-                    host.rack.hosts.remove(host);
-                }
                 rack.hosts.add(host);
                 host.rack = rack;
             }
         }
-        settle();
     }
 
-    public void listFailed(long time) {
-        now = time;
-        followedAt = Math.min(followedAt, time - settings.listAskWithin);
-        settle();
+    public void listFailed() {
+        followedAt = Math.min(followedAt, now - settings.listAskWithin);
     }
 
-    public void requested(long time, Playback pb) {
-        now = time;
+    public void requested(Playback pb) {
         taken.add(now, 1);
         pb.rung = pb.plan.floor;
         if (pb.tenant >= 0) {
@@ -88,23 +94,18 @@
             pb.overShare = overShare(pb.tenant);
         }
         open.add(pb);
-        settle();
     }
 
-    public void handedOver(long time, Playback pb, MediaHost host) {
-        now = time;
+    public void handedOver(Playback pb, MediaHost host) {
         beganWithDay = true;
         pb.rung = pb.plan.floor;
-        SetupTry first = new SetupTry(pb, host, 0, now);
-        pb.tries.add(first);
-        host.carried.add(first);
+        pb.tries.add(new SetupTry(pb, host, 0, now));
+        host.carried.add(pb.lastTry());
         begin(pb);
-        tally(host);
-        settle();
+        host.tally(now, settings.joinShare);
     }
 
-    public void started(long time, SetupTry setupTry) {
-        now = time;
+    public void started(SetupTry setupTry) {
         setupTry.host.failures.add(now, 0);
         if (setupTry.host.failureSeen) {
             // It may have started at any time up to now: cold for as long as settings allow.
@@ -113,88 +114,61 @@
         }
         open.remove(setupTry.playback);
         begin(setupTry.playback);
-        settle();
     }
 
-    public void cameBack(long time, SetupTry setupTry, Verdict verdict, boolean finished, double link,
-            double uplink) {
-        now = time;
+    public void cameBack(SetupTry setupTry, Verdict verdict, boolean finished, double link, double uplink) {
         MediaHost host = setupTry.host;
         boolean wasPlaying = setupTry.playback.playing;
         setupTry.verdict = verdict;
         host.carried.remove(setupTry);
-        tally(host);
+        host.tally(now, settings.joinShare);
         if (host.load.since(now - SHORT_LIFE) == 0) {
             // Reports in answers are noisy and late: taken only where no note has come of late.
             takeReport(host, link, uplink, now - REPORT_AGE);
         }
-        if (verdict == Verdict.NO_CONNECTION || verdict == Verdict.BROKEN) {
-            host.failureSeen = true;
-        }
-        if (BLAMED.contains(verdict) && !(wasPlaying && verdict != Verdict.BROKEN)) {
-            host.failures.add(now, 1);
-        }
+        blame(host, verdict, BLAMED.contains(verdict) && (!wasPlaying || verdict == Verdict.BROKEN));
         playing.remove(setupTry.playback);
         if (finished || wasPlaying) {
             over(setupTry.playback);
         }
-        settle();
     }
 
-    public void left(long time, Playback pb) {
-        now = time;
+    private void blame(MediaHost host, Verdict verdict, boolean failed) {
+        host.failureSeen |= verdict == Verdict.NO_CONNECTION || verdict == Verdict.BROKEN;
+        if (failed) {
+            host.failures.add(now, 1);
+        }
+    }
+
+    public void left(Playback pb) {
         over(pb);
-        settle();
     }
 
-    public void delivered(long time, SetupTry setupTry, double share) {
-        now = time;
+    public void delivered(SetupTry setupTry, double share) {
         MediaHost host = setupTry.host;
         host.draw = chance.nextDouble();
         host.asked.add(now - settings.noteDelay - SMOOTHED, 1 / Math.max(share, 0.05));
-        boolean rackToo = host.rack.hosts.stream().filter(h -> h != host).anyMatch(h -> shortLoad(h) > 0);
+        boolean rackToo = host.rack.hosts.stream().anyMatch(h -> h != host && shortLoad(h) > 0);
         if (share < FULL_SHARE && rackToo && linkLoad(host) < 1 && settings.uplink > 0) {
             host.rack.found.add(now, Math.min(1, rackAsked(host.rack) / settings.uplink * share));
         }
-        settle();
     }
 
-    public void rungTold(long time, SetupTry setupTry, int rung) {
-        now = time;
+    public void rungTold(SetupTry setupTry, int rung) {
         setupTry.playback.rung = rung;
-        tally(setupTry.host);
-        settle();
+        setupTry.host.tally(now, settings.joinShare);
     }
 
-    public void loadTold(long time, SetupTry setupTry, double link, double uplink) {
-        now = time;
+    public void loadTold(SetupTry setupTry, double link, double uplink) {
         boolean fresh = now - setupTry.playback.playingSince < settings.noteDelay / 2;
         takeReport(setupTry.host, link, uplink, fresh ? now : now - settings.noteDelay);
-        settle();
     }
 
-    public void probed(long time, MediaHost host, Verdict verdict, double link, double uplink) {
-        now = time;
+    public void probed(MediaHost host, Verdict verdict, double link, double uplink) {
         host.probeOut = false;
         takeReport(host, link, uplink, now - REPORT_AGE);
-        if (verdict == Verdict.NO_CONNECTION || verdict == Verdict.BROKEN) {
-            host.failureSeen = true;
-        }
-        if (verdict != Verdict.OK) {
-            host.failures.add(now, 1);
-        }
+        blame(host, verdict, verdict != Verdict.OK);
         open.forEach(pb -> pb.waitUntil = Math.min(pb.waitUntil, now));
-        settle();
-    }
-
-    public void heard(long time, int from, byte[] data) {
-        now = time;
-        settle();
-    }
-
-    public void bell(long time) {
-        now = time;
-        settle();
     }
 
     // The rules' machinery.
@@ -210,13 +184,6 @@
         };
     }
 
-    private void settle() {
-        priceAt = Long.MIN_VALUE;
-        while (rules.stream().anyMatch(BooleanSupplier::getAsBoolean)) {
-            priceAt = Long.MIN_VALUE;
-        }
-    }
-
     // Where the list must be asked for, a standing subscription is kept.
 
     private Settings unfollowed() {
@@ -271,8 +238,7 @@
         if (!cold(host)) {
             return true;
         }
-        double places = settings.places.getOrDefault(host.kind, 1.0);
-        double window = settings.fallMultiple * places / Math.max(1, settings.coldTime) * settings.coldShare
+        double window = settings.fallMultiple * host.places / Math.max(1, settings.coldTime) * settings.coldShare
             * settings.fallTime * COLD_PART;
         boolean halves = window < 2;
         long slot = Math.max(1, settings.fallTime) * (halves ? 2 : 1);
@@ -364,19 +330,12 @@
 
     private double failureShare(MediaHost host) {
         int n = host.failures.since(now - FAILURE_LIFE);
-        double sum = 0;
-        for (int i = 0; i < n; i++) {
-            sum += host.failures.value(i);
-        }
-        return sum / (n + 1);
+        return IntStream.range(0, n).mapToDouble(host.failures::value).sum() / (n + 1);
     }
 
     private boolean ill(MediaHost host, double median) {
-        if (failureShare(host) <= median + ILL_OVER) {
-            return false;
-        }
-        boolean tryOut = host.carried.stream().anyMatch(t -> !t.playback.playing);
-        return tryOut || now - host.failures.time(0) < TRIAL_AFTER;
+        return failureShare(host) > median + ILL_OVER && (now - host.failures.time(0) < TRIAL_AFTER
+            || host.carried.stream().anyMatch(t -> !t.playback.playing));
     }
 
     private double medianFailure() {
@@ -413,14 +372,6 @@
         }
     }
 
-    private double link(MediaHost host) {
-        return Math.max(1, host.rating * settings.linkPerRating);
-    }
-
-    private static double newest(Samples own) {
-        return own.size() == 0 ? 0 : own.value(0);
-    }
-
     /** Mean of the last reports brought up to now; the guess takes over as they age. */
     private double told(Samples load, Samples own, double capacity, double guess) {
         int n = load.since(now - REPORT_LIFE);
@@ -431,7 +382,7 @@
         double weights = 0;
         for (int i = 0; i < n; i++) {
             double weight = 1 - (double) (now - load.time(i)) / REPORT_LIFE;
-            sum += weight * (load.value(i) + (newest(own) - own.at(load.time(i))) / capacity);
+            sum += weight * (load.value(i) + (own.newest() - own.at(load.time(i))) / capacity);
             weights += weight;
         }
         double trust = 1 - (double) (now - load.time(0)) / REPORT_LIFE;
@@ -441,12 +392,12 @@
     /** Link use without reports: own playbacks, and as much again on average for each other gateway. */
     private double guess(MediaHost host) {
         double mean = hosts.values().stream().filter(h -> h.state == MediaHost.State.ACTIVE)
-            .mapToDouble(h -> newest(h.own)).average().orElse(0);
-        return (newest(host.own) + (settings.gateways - 1) * mean) / link(host);
+            .mapToDouble(h -> h.own.newest()).average().orElse(0);
+        return (host.own.newest() + (settings.gateways - 1) * mean) / host.link;
     }
 
     private double linkLoad(MediaHost host) {
-        return told(host.load, host.own, link(host), guess(host));
+        return told(host.load, host.own, host.link, guess(host));
     }
 
     /** What is asked over what arrives while delivery is short, else 0; all gateways ease off alike. */
@@ -460,7 +411,7 @@
 
     private double rackAsked(Rack rack) {
         return rack.hosts.stream().filter(h -> h.state != MediaHost.State.GONE)
-            .mapToDouble(h -> linkLoad(h) * link(h)).sum();
+            .mapToDouble(h -> linkLoad(h) * h.link).sum();
     }
 
     private double rackLoad(Rack rack) {
@@ -472,34 +423,12 @@
         return told(rack.load, rack.own, settings.uplink, guess);
     }
 
-    /** What the playbacks of this gateway ask of a media host; a joined one adds its share. */
-    private void tally(MediaHost host) {
-        double sum = 0;
-        for (int i = 0; i < host.carried.size(); i++) {
-            Playback pb = host.carried.get(i).playback;
-            sum += rate(pb, pb.rung) * (joins(pb, host, pb.rung, i) ? settings.joinShare : 1);
-        }
-        double before = newest(host.own);
-        host.own.set(now, sum);
-        host.rack.own.set(now, newest(host.rack.own) + sum - before);
-    }
-
-    private double rate(Playback pb, int rung) {
-        return settings.ladder[rung] * pb.plan.rateFactor;
-    }
-
-    /** Whether one of the first so many carried there has a stream that the playback would share. */
-    private boolean joins(Playback pb, MediaHost host, int rung, int upTo) {
-        return pb.plan.live && host.carried.stream().limit(upTo).map(t -> t.playback)
-            .anyMatch(o -> o != pb && o.title == pb.title && o.plan == pb.plan && o.rung == rung);
-    }
-
     private double added(Playback pb, MediaHost host, int rung) {
-        return rate(pb, rung) * (joins(pb, host, rung, host.carried.size()) ? settings.joinShare : 1);
+        return pb.plan.rates[rung] * (host.joins(pb, rung) ? settings.joinShare : 1);
     }
 
     private boolean room(MediaHost host, double kb, double mark) {
-        return load(host) + kb / link(host) <= mark
+        return load(host) + kb / host.link <= mark
             && (settings.uplink <= 0 || rackLoad(host.rack) + kb / settings.uplink <= mark);
     }
 
@@ -510,7 +439,7 @@
         long joined = !pb.plan.live ? 1 : Math.max(1, playing.stream()
             .filter(o -> o.title == pb.title && o.plan == pb.plan).count());
         double share = (1 + settings.joinShare * (joined - 1)) / joined;
-        double kb = (rate(pb, rung) - rate(pb, rung - 1)) * share;
+        double kb = (pb.plan.rates[rung] - pb.plan.rates[rung - 1]) * share;
         double revenue = pb.plan.revenue * (pb.overShare ? settings.overShareRevenue : 1);
         return revenue * (settings.rungRevenue[rung] - settings.rungRevenue[rung - 1]) / Math.max(kb, 1e-9);
     }
@@ -521,26 +450,20 @@
             return price;
         }
         priceAt = now;
-        double links = 0;
-        double asked = 0;
-        double own = 0;
-        for (MediaHost host : hosts.values()) {
-            if (host.state == MediaHost.State.ACTIVE) {
-                links += link(host);
-                asked += linkLoad(host) * link(host);
-                own += newest(host.own);
-            }
-        }
+        List<MediaHost> up = hosts.values().stream().filter(h -> h.state == MediaHost.State.ACTIVE).toList();
+        double links = up.stream().mapToDouble(h -> h.link).sum();
+        double asked = up.stream().mapToDouble(h -> linkLoad(h) * h.link).sum();
+        double own = up.stream().mapToDouble(h -> h.own.newest()).sum();
         double uplinks = racks.values().stream().mapToDouble(this::rackLoad).average().orElse(0);
         double allowed = own * T_HIGH / Math.max(Math.max(asked / Math.max(links, 1), uplinks), 1e-3);
         List<double[]> steps = new ArrayList<>();
         for (Playback pb : playing) {
             double worst = Double.MAX_VALUE;
             double share = pb.plan.live ? settings.joinShare : 1;
-            allowed -= rate(pb, pb.plan.floor) * share;
+            allowed -= pb.plan.rates[pb.plan.floor] * share;
             for (int r = pb.plan.floor + 1; r <= highest(pb); r++) {
                 worst = Math.min(worst, stepValue(pb, r));
-                steps.add(new double[] {worst, (rate(pb, r) - rate(pb, r - 1)) * share});
+                steps.add(new double[] {worst, (pb.plan.rates[r] - pb.plan.rates[r - 1]) * share});
             }
         }
         steps.sort(Comparator.comparingDouble(s -> -s[0]));
@@ -556,8 +479,7 @@
     }
 
     private int highest(Playback pb) {
-        int most = Math.min(Math.min(pb.ceiling, pb.plan.top), settings.ladder.length - 1);
-        return Math.max(most, pb.plan.floor);
+        return Math.max(pb.plan.floor, Math.min(Math.min(pb.ceiling, pb.plan.top), settings.ladder.length - 1));
     }
 
     private int fairRung(Playback pb) {
@@ -582,16 +504,10 @@
 
     /** Holders that may be sent this playback, home first: own zone, then a hash that all gateways share. */
     private List<MediaHost> holders(Playback pb) {
-        List<MediaHost> found = new ArrayList<>();
-        for (MediaHost host : hosts.values()) {
-            int away = Math.floorMod(host.cell - pb.title.first, settings.cells);
-            if (host.state == MediaHost.State.ACTIVE && away < pb.title.copies) {
-                found.add(host);
-            }
-        }
-        found.sort(Comparator.comparing((MediaHost h) -> !h.zone.equals(settings.zone))
-            .thenComparingLong(h -> hash(pb.title.key, h.id)));
-        return found;
+        return hosts.values().stream().filter(h -> h.state == MediaHost.State.ACTIVE
+            && Math.floorMod(h.cell - pb.title.first, settings.cells) < pb.title.copies)
+            .sorted(Comparator.comparing((MediaHost h) -> !h.zone.equals(settings.zone))
+            .thenComparingLong(h -> hash(pb.title.key, h.id))).toList();
     }
 
     private static long hash(String key, long id) {
@@ -606,9 +522,8 @@
     private void place(Playback pb) {
         List<MediaHost> all = holders(pb);
         double median = medianFailure();
-        List<MediaHost> untried = all.stream()
-            .filter(h -> pb.tries.stream().noneMatch(t -> t.host == h)).toList();
-        List<MediaHost> well = untried.stream().filter(h -> mayTry(pb, h) && !ill(h, median)).toList();
+        List<MediaHost> well = all.stream().filter(h -> pb.tries.stream().noneMatch(t -> t.host == h)
+            && mayTry(pb, h) && !ill(h, median)).toList();
         if (well.isEmpty()) {
             // Every holder is ill or tried: the least bad is better than a rejection.
             well = all.stream().filter(h -> mayTry(pb, h) && shortLoad(h) == 0)
@@ -642,14 +557,10 @@
 
     private MediaHost choose(Playback pb, List<MediaHost> well, int top) {
         MediaHost home = well.get(0);
-        int joinAt = joinRung(pb, home);
-        if (joinAt >= 0 && room(home, added(pb, home, joinAt), T_HIGH)) {
-            return home;
-        }
         boolean homeHasRoom = room(home, added(pb, home, top), T_HIGH);
         double l = load(home);
         double p = l < T_LOW ? 0 : P_MAX * Math.min(1, (l - T_LOW) / (T_HIGH - T_LOW));
-        if (homeHasRoom && chance.nextDouble() >= p) {
+        if (joinRung(pb, home) >= 0 || homeHasRoom && chance.nextDouble() >= p) {
             return home;
         }
         for (int rung = top; rung >= pb.plan.floor; rung--) {
@@ -657,9 +568,9 @@
             List<MediaHost> roomy = well.stream().filter(h -> (h != home || b < top)
                 && room(h, added(pb, h, b), T_HIGH)).toList();
             List<MediaHost> light = roomy.stream()
-                .filter(h -> load(h) < T_LOW || joins(pb, h, b, h.carried.size())).toList();
+                .filter(h -> load(h) < T_LOW || h.joins(pb, b)).toList();
             MediaHost least = (light.isEmpty() ? roomy : light).stream()
-                .min(Comparator.comparingDouble(h -> added(pb, h, b) / (link(h) * (1 - load(h))))).orElse(null);
+                .min(Comparator.comparingDouble(h -> added(pb, h, b) / (h.link * (1 - load(h))))).orElse(null);
             if (least != null) {
                 return least;
             }
@@ -677,51 +588,40 @@
      * where the load told is far too high.
      */
     private boolean makeRoom(Playback pb, MediaHost host) {
-        int rung = Math.max(pb.plan.floor, joinRung(pb, host));
         double kb = added(pb, host, pb.plan.floor);
-        double value = pb.plan.revenue * settings.rungRevenue[rung] / Math.max(kb, 1);
+        double value = pb.plan.revenue * settings.rungRevenue[pb.plan.floor] / kb;
         boolean uplink = settings.uplink > 0 && rackLoad(host.rack) + kb / settings.uplink > T_HIGH;
-        List<Playback> yielding = new ArrayList<>(playing.stream().filter(o -> o.rung > o.plan.floor && !o.moving
+        List<Playback> yielding = playing.stream().filter(o -> o.rung > o.plan.floor && !o.moving
             && (uplink ? o.lastTry().host.rack == host.rack : o.lastTry().host == host)
-            && stepValue(o, o.rung) < value).sorted(Comparator.comparingDouble(o -> stepValue(o, o.rung))).toList());
-        double gain = yielding.stream().mapToDouble(o -> (rate(o, o.rung) - rate(o, o.plan.floor))
+            && stepValue(o, o.rung) < value).sorted(Comparator.comparingDouble(o -> stepValue(o, o.rung))).toList();
+        double gain = yielding.stream().mapToDouble(o -> (o.plan.rates[o.rung] - o.plan.rates[o.plan.floor])
             * (o.plan.live ? settings.joinShare : 1)).sum();
-        double over = Math.max((load(host) - T_HIGH) * link(host) + kb,
+        double over = Math.max((load(host) - T_HIGH) * host.link + kb,
             uplink ? (rackLoad(host.rack) - T_HIGH) * settings.uplink + kb : 0);
-        if (gain < over) {
-            return false;
-        }
         for (Playback o : yielding) {
-            if (room(host, kb, T_HIGH)) {
-                return true;
-            }
-            if (o.rung > o.plan.floor) {
-                stepDown(group(o));
+            if (gain >= over && o.rung > o.plan.floor && !room(host, kb, T_HIGH)) {
+                step(group(o), -1);
             }
         }
         return room(host, kb, T_HIGH);
     }
 
-    /** The highest rung at which the playback would share a stream there, or -1. */
+    /** The highest rung at which the playback has room to share a stream there, or -1. */
     private int joinRung(Playback pb, MediaHost host) {
-        for (int rung = highest(pb); rung >= pb.plan.floor; rung--) {
-            if (joins(pb, host, rung, host.carried.size())) {
-                return rung;
-            }
+        int rung = highest(pb);
+        while (rung >= pb.plan.floor && !(host.joins(pb, rung) && room(host, added(pb, host, rung), T_HIGH))) {
+            rung--;
         }
-        return -1;
+        return rung >= pb.plan.floor ? rung : -1;
     }
 
     private int rungAt(Playback pb, MediaHost host, int top) {
-        int joinAt = joinRung(pb, host);
-        if (joinAt >= 0 && room(host, added(pb, host, joinAt), T_HIGH)) {
-            return joinAt;
-        }
         int rung = top;
         while (rung > pb.plan.floor && !room(host, added(pb, host, rung), T_HIGH)) {
             rung--;
         }
-        return rung;
+        int joinAt = joinRung(pb, host);
+        return joinAt >= 0 ? joinAt : rung;
     }
 
     /** Part of the time left that a try gets while another may follow: one more fits after it. */
@@ -737,12 +637,10 @@
         }
         long left = giveUpAt(pb) - now;
         boolean last = pb.tries.size() + 1 >= settings.mostTries || pb.plan.effect == Plan.Effect.ONCE;
-        SetupTry setupTry = new SetupTry(pb, host, pb.tries.size(), now);
-        pb.tries.add(setupTry);
-        pb.rungSince = now;
-        host.carried.add(setupTry);
+        pb.tries.add(new SetupTry(pb, host, pb.tries.size(), now));
+        host.carried.add(pb.lastTry());
         host.sent.add(now, 1);
-        tally(host);
+        host.tally(now, settings.joinShare);
         gateway.setUp(pb, host, Math.max(1, last ? left : (long) (left * TRY_PART)));
     }
 
@@ -764,9 +662,9 @@
     /** Step down above this: beyond it the spread of true rates makes delivery short. */
     private static final double STEP_DOWN_AT = 1.02;
     /** Step up only where the step leaves this much free, so that it is not taken back. */
-    private static final double STEP_UP_TO = 0.7;
+    private static final double STEP_UP_TO = 0.8;
     /** A rung is kept at least so long before a step up: several times what a step costs. */
-    private static final long STEP_UP_AFTER = 10_000_000_000L;
+    private static final long STEP_UP_AFTER = 6_000_000_000L;
 
     /** Told, not guessed: a step on a wrong guess costs as much and must be taken back. */
     private boolean overfull(Playback pb) {
@@ -781,10 +679,7 @@
      * up would leave it half empty.
      */
     private boolean overfull(double load, Samples own, double draw, Playback pb) {
-        double excess = newest(own) * (1 - 1 / Math.max(load, 1e-3));
-        List<Playback> group = group(pb);
-        double kb = (rate(pb, pb.rung) - rate(pb, pb.rung - 1)) * (1 + settings.joinShare * (group.size() - 1));
-        return load > STEP_DOWN_AT && excess > kb * draw;
+        return load > STEP_DOWN_AT && own.newest() * (1 - 1 / load) > draw * stepKb(group(pb), pb.rung);
     }
 
     /**
@@ -796,7 +691,7 @@
             return 0;
         }
         double then = own.at(load.time(0));
-        return load.value(0) * (then > 0 ? Math.min(1, newest(own) / then) : 1);
+        return load.value(0) * (then > 0 ? Math.min(1, own.newest() / then) : 1);
     }
 
     private List<Playback> overfull() {
@@ -818,28 +713,28 @@
             && o.title == pb.title && o.lastTry().host == pb.lastTry().host && !o.moving).toList();
     }
 
-    private void stepDown(List<Playback> group) {
-        step(group, group.get(0).rung - 1);
-    }
-
-    private void step(List<Playback> group, int rung) {
+    private void step(List<Playback> group, int by) {
         for (Playback pb : group) {
-            pb.rung = rung;
+            pb.rung += by;
             pb.rungSince = now;
-            gateway.setRung(pb, rung);
+            gateway.setRung(pb, pb.rung);
         }
-        tally(group.get(0).lastTry().host);
+        group.get(0).lastTry().host.tally(now, settings.joinShare);
+    }
+
+    /** What the step up to that rung adds for those that share a stream. */
+    private double stepKb(List<Playback> group, int rung) {
+        double[] rates = group.get(0).plan.rates;
+        return (rates[rung] - rates[rung - 1]) * (1 + settings.joinShare * (group.size() - 1));
     }
 
     private List<Playback> underused() {
         for (Playback pb : playing) {
             if (pb.rung < fairRung(pb) && now - pb.rungSince >= STEP_UP_AFTER && !pb.moving
-                && left(pb) > STEP_UP_AFTER) {
+                && timeLeft(pb) > STEP_UP_AFTER) {
                 List<Playback> group = group(pb).stream().filter(o -> highest(o) > pb.rung).toList();
                 MediaHost host = pb.lastTry().host;
-                double kb = (rate(pb, pb.rung + 1) - rate(pb, pb.rung))
-                    * (1 + settings.joinShare * (group.size() - 1));
-                if (shortLoad(host) == 0 && room(host, kb, STEP_UP_TO)) {
+                if (shortLoad(host) == 0 && room(host, stepKb(group, pb.rung + 1), STEP_UP_TO)) {
                     return group;
                 }
             }
@@ -847,12 +742,8 @@
         return null;
     }
 
-    private void stepUp(List<Playback> group) {
-        step(group, group.get(0).rung + 1);
-    }
-
     /** Time the playback may go on: by its hint, else as if half over. */
-    private long left(Playback pb) {
+    private long timeLeft(Playback pb) {
         return pb.hint > 0 ? pb.hint - (now - pb.playingSince) : USUAL_LEFT;
     }
 
@@ -869,17 +760,13 @@
             MediaHost host = pb.lastTry().host;
             boolean starved = shortLoad(host) > 0 && host.asked.value(0) > 1 / LOST_SHARE
                 && host.asked.size() > 1 && host.asked.value(1) > 1 / LOST_SHARE;
-            return starved && !pb.moving && !pb.moved && left(pb) > USUAL_LEFT / 2
+            return starved && !pb.moving && !pb.moved && timeLeft(pb) > USUAL_LEFT / 2
                 && (pb.rung == pb.plan.floor || host.asked.value(0) > 2 / LOST_SHARE)
-                && holders(pb).stream().anyMatch(h -> h != host && mayTryNew(h)
-                    && room(h, added(pb, h, pb.rung), T_HIGH));
+                && holders(pb).stream().anyMatch(h -> h != host && !cold(h)
+                    && !ill(h, medianFailure()) && room(h, added(pb, h, pb.rung), T_HIGH));
         });
     }
 
-    private boolean mayTryNew(MediaHost host) {
-        return !cold(host) && !ill(host, medianFailure());
-    }
-
     private void move(Playback pb) {
         pb.moving = true;
         movedAt = now;
--- a/src/main/java/cypressvalve/adapter/Instance.java
+++ b/src/main/java/cypressvalve/adapter/Instance.java
@@ -29,6 +29,8 @@
         settings = SettingsReader.read(begin.text("profileData"));
         this.now = now;
         control = new Control(settings, begin.whole("randomSeed"), now, this);
+        control.at(now);
+        control.settle();
     }
 
     /** Takes one event; a failure of the decisions becomes the wire's word for it. */
@@ -38,7 +40,10 @@
             return;
         }
         try {
+            control.at(now);
             decode(line, bank);
+            control.settle();
+            playbacks.values().removeIf(p -> p.answered && !p.onHost());
         } catch (BadInput e) {
             throw e;
         } catch (RuntimeException e) {
@@ -62,8 +67,7 @@
             case "ROSTER_CHANGE" -> roster(line, bank);
             case "DEMAND" -> {
                 Playback playback = playback(line);
-                control.requested(now, playback);
-                forget(playback);
+                control.requested(playback);
             }
             case "HANDOVER" -> {
                 Playback playback = playback(line);
@@ -71,12 +75,12 @@
                 if (host == null) {
                     throw line.bad("host", "a media host that was listed");
                 }
-                control.handedOver(now, playback, host);
+                control.handedOver(playback, host);
             }
             case "HEADERS" -> {
                 SetupTry setupTry = setupTry(line);
                 if (setupTry != null) {
-                    control.started(now, setupTry);
+                    control.started(setupTry);
                 }
             }
             case "REPORT_BACK" -> reportBack(line);
@@ -84,26 +88,22 @@
             case "VANISHED" -> {
                 Playback playback = playbacks.get(line.text("opId"));
                 if (playback != null) {
-                    control.left(now, playback);
-                    forget(playback);
+                    control.left(playback);
                 }
             }
-            case "BELL" -> {
-                line.whole("keyBack");
-                control.bell(now);
-            }
+            case "BELL" -> line.whole("keyBack");
             case "HEALTH" -> {
                 Verdict verdict = verdict(line);
                 MediaHost host = hosts.get(line.whole("host"));
                 if (host != null) {
-                    control.probed(now, host, verdict, link(line), line.pair("stats", "x1"));
+                    control.probed(host, verdict, link(line), line.pair("stats", "x1"));
                 }
             }
             case "PEER_DATA" -> {
                 try {
                     String blob = line.text("blob", "-");
-                    byte[] data = blob.equals("-") ? new byte[0] : Base64.getDecoder().decode(blob);
-                    control.heard(now, (int) line.whole("srcPeer"), data);
+                    line.whole("srcPeer");
+                    Base64.getDecoder().decode(blob.equals("-") ? "" : blob);
                 } catch (IllegalArgumentException e) {
                     throw line.bad("blob", "base64");
                 }
@@ -116,7 +116,7 @@
         String mode = line.text("mode");
         line.whole("version", 0);
         if (mode.equals("FAILED")) {
-            control.listFailed(now);
+            control.listFailed();
             return;
         }
         boolean whole = switch (mode) {
@@ -141,9 +141,11 @@
             host.cell = (int) item.whole("slotNo", host.cell);
             host.kind = item.text("sku", host.kind);
             host.zone = item.text("az", host.zone);
+            host.link = Math.max(1, host.rating * settings.linkPerRating);
+            host.places = settings.places.getOrDefault(host.kind, 1.0);
             named.add(host);
         }
-        control.listed(now, named, whole);
+        control.listed(named, whole);
     }
 
     private Playback playback(Line line) {
@@ -176,8 +178,7 @@
         double uplink = line.pair("stats", "x1");
         SetupTry setupTry = setupTry(line);
         if (setupTry != null) {
-            control.cameBack(now, setupTry, verdict, finished, link, uplink);
-            forget(setupTry.playback);
+            control.cameBack(setupTry, verdict, finished, link, uplink);
         }
     }
 
@@ -189,10 +190,10 @@
             return;
         }
         switch (sort) {
-            case 1 -> control.delivered(now, setupTry, level);
-            case 2 -> control.rungTold(now, setupTry, (int) level);
-            case 3 -> control.loadTold(now, setupTry, level, Double.NaN);
-            case 4 -> control.loadTold(now, setupTry, Double.NaN, level);
+            case 1 -> control.delivered(setupTry, level);
+            case 2 -> control.rungTold(setupTry, (int) level);
+            case 3 -> control.loadTold(setupTry, level, Double.NaN);
+            case 4 -> control.loadTold(setupTry, Double.NaN, level);
             default -> { }
         }
     }
@@ -204,12 +205,6 @@
         return playback == null || leg < 0 || leg >= playback.tries.size() ? null : playback.tries.get(leg);
     }
 
-    private void forget(Playback playback) {
-        if (playback.answered && !playback.onHost()) {
-            playbacks.remove(playback.id);
-        }
-    }
-
     private static double link(Line line) {
         double asked = line.pair("stats", "x0");
         return Double.isNaN(asked) ? line.pair("stats", "util") : asked;
--- a/src/main/java/cypressvalve/adapter/SettingsReader.java
+++ b/src/main/java/cypressvalve/adapter/SettingsReader.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import cypressvalve.model.Plan;
 import cypressvalve.model.Settings;
+import java.util.Arrays;
 
 /** Reads a gateway's settings from the JSON object that comes with its start. */
 final class SettingsReader {
@@ -30,9 +31,9 @@
         s.overShareRevenue = number(all, "overShareWorth", 1);
         s.tick = time(all, "tickNs");
         s.listOnRequest = all.path("registryMode").asText("").equals("on_request");
+        family(all, s);
         plans(all, s);
         tenants(all.path("tenants"), s);
-        family(all, s);
         JsonNode limits = all.path("limits");
         s.mayProbe = limits.path("probes").asBoolean(false);
         s.mayTell = limits.path("peers").asBoolean(false);
@@ -85,7 +86,8 @@
             plan.floor = (int) item(family, "floorByClass", i, 0);
             plan.top = (int) item(family, "classTop", i, Integer.MAX_VALUE);
             plan.seats = (int) item(family, "classSeats", i, 0);
-            plan.rateFactor = item(family, "rateFactor", i, 1);
+            double factor = item(family, "rateFactor", i, 1);
+            plan.rates = Arrays.stream(s.ladder).map(kb -> kb * factor).toArray();
             s.plans.add(plan);
             s.plansByName.put(row.path("name").asText(""), plan);
         }
--- a/src/main/java/cypressvalve/model/MediaHost.java
+++ b/src/main/java/cypressvalve/model/MediaHost.java
@@ -12,6 +12,9 @@
     public State state = State.ACTIVE;
     public double rating = 1;
     public long startedAt;
+    /** Its link, kB a second, and the streams it runs at most, as the settings have them. */
+    public double link = 1;
+    public double places = 1;
     public int cell;
     public String kind = "";
     public String zone = "";
@@ -43,4 +46,30 @@
     public MediaHost(long id) {
         this.id = id;
     }
+
+    /** Whether the playback would share a stream that is carried here at that rung. */
+    public boolean joins(Playback pb, int rung) {
+        return joins(pb, rung, carried.size());
+    }
+
+    private boolean joins(Playback pb, int rung, int upTo) {
+        for (int i = 0; i < upTo && pb.plan.live; i++) {
+            Playback other = carried.get(i).playback;
+            if (other != pb && other.title == pb.title && other.plan == pb.plan && other.rung == rung) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Works out anew what the carried playbacks ask for; a joined one adds its share. */
+    public void tally(long now, double joinShare) {
+        double sum = 0;
+        for (int i = 0; i < carried.size(); i++) {
+            Playback pb = carried.get(i).playback;
+            sum += pb.plan.rates[pb.rung] * (joins(pb, pb.rung, i) ? joinShare : 1);
+        }
+        rack.own.set(now, rack.own.newest() + sum - own.newest());
+        own.set(now, sum);
+    }
 }
--- a/src/main/java/cypressvalve/model/Plan.java
+++ b/src/main/java/cypressvalve/model/Plan.java
@@ -18,5 +18,6 @@
     public int floor;
     public int top = Integer.MAX_VALUE;
     public int seats;
-    public double rateFactor = 1;
+    /** Rate of each rung, kB a second. */
+    public double[] rates = {1};
 }
--- a/src/main/java/cypressvalve/model/Samples.java
+++ b/src/main/java/cypressvalve/model/Samples.java
@@ -37,6 +37,10 @@
         return values[(count - 1 - back) % times.length];
     }
 
+    public double newest() {
+        return count == 0 ? 0 : value(0);
+    }
+
     /** How many are of that time or later. */
     public int since(long time) {
         int n = 0;
