--- a/src/main/java/cypressvalve/Control.java
+++ b/src/main/java/cypressvalve/Control.java
@@ -42,7 +42,8 @@
         rule(this::unplaced, this::place),
         rule(this::overfull, group -> step(group, -1)),
         rule(this::stranded, this::move),
-        rule(this::underused, group -> step(group, 1)));
+        rule(this::underused, this::stepUp),
+        rule(this::untold, this::tellRung));
 
     public Control(Settings settings, long seed, long time, Gateway gateway) {
         this.settings = settings;
@@ -89,6 +90,7 @@
     public void requested(Playback pb) {
         taken.add(now, 1);
         pb.rung = pb.plan.floor;
+        pb.rungTold = pb.rung;
         if (pb.tenant >= 0) {
             arrivals.get(pb.tenant).add(now, 1);
             pb.overShare = overShare(pb.tenant);
@@ -99,6 +101,7 @@
     public void handedOver(Playback pb, MediaHost host) {
         beganWithDay = true;
         pb.rung = pb.plan.floor;
+        pb.rungTold = pb.rung;
         pb.tries.add(new SetupTry(pb, host, 0, now));
         host.carried.add(pb.lastTry());
         begin(pb);
@@ -156,6 +159,7 @@
 
     public void rungTold(SetupTry setupTry, int rung) {
         setupTry.playback.rung = rung;
+        setupTry.playback.rungTold = rung;
         setupTry.host.tally(now, settings.joinShare);
     }
 
@@ -628,9 +632,9 @@
     private static final double TRY_PART = 0.45;
 
     private void send(Playback pb, MediaHost host, int rung) {
-        if (rung != pb.rung) {
-            pb.rung = rung;
-            gateway.setRung(pb, rung);
+        pb.rung = rung;
+        if (rung != pb.rungTold) {
+            tellRung(pb);
         }
         if (!pb.tries.isEmpty()) {
             further.add(now, 1);
@@ -662,9 +666,9 @@
     /** Step down above this: beyond it the spread of true rates makes delivery short. */
     private static final double STEP_DOWN_AT = 1.02;
     /** Step up only where the step leaves this much free, so that it is not taken back. */
-    private static final double STEP_UP_TO = 0.8;
+    private static final double STEP_UP_TO = 0.75;
     /** A rung is kept at least so long before a step up: several times what a step costs. */
-    private static final long STEP_UP_AFTER = 6_000_000_000L;
+    private static final long STEP_UP_AFTER = 8_000_000_000L;
 
     /** Told, not guessed: a step on a wrong guess costs as much and must be taken back. */
     private boolean overfull(Playback pb) {
@@ -717,11 +721,21 @@
         for (Playback pb : group) {
             pb.rung += by;
             pb.rungSince = now;
-            gateway.setRung(pb, pb.rung);
         }
         group.get(0).lastTry().host.tally(now, settings.joinShare);
     }
 
+    // Each change costs alike, however many rungs it spans: only the last of a moment goes out.
+
+    private Playback untold() {
+        return first(playing, pb -> pb.rung != pb.rungTold);
+    }
+
+    private void tellRung(Playback pb) {
+        pb.rungTold = pb.rung;
+        gateway.setRung(pb, pb.rung);
+    }
+
     /** What the step up to that rung adds for those that share a stream. */
     private double stepKb(List<Playback> group, int rung) {
         double[] rates = group.get(0).plan.rates;
@@ -731,10 +745,9 @@
     private List<Playback> underused() {
         for (Playback pb : playing) {
             if (pb.rung < fairRung(pb) && now - pb.rungSince >= STEP_UP_AFTER && !pb.moving
-                && timeLeft(pb) > STEP_UP_AFTER) {
-                List<Playback> group = group(pb).stream().filter(o -> highest(o) > pb.rung).toList();
-                MediaHost host = pb.lastTry().host;
-                if (shortLoad(host) == 0 && room(host, stepKb(group, pb.rung + 1), STEP_UP_TO)) {
+                && timeLeft(pb) > STEP_UP_AFTER && shortLoad(pb.lastTry().host) == 0) {
+                List<Playback> group = group(pb).stream().filter(o -> highest(o) >= fairRung(pb)).toList();
+                if (rungsUp(group) > 0) {
                     return group;
                 }
             }
@@ -742,6 +755,25 @@
         return null;
     }
 
+    private void stepUp(List<Playback> group) {
+        step(group, rungsUp(group));
+    }
+
+    /** How many rungs those that share a stream may go up at once, towards their fair rung. */
+    private int rungsUp(List<Playback> group) {
+        int by = 0;
+        double kb = 0;
+        Playback pb = group.isEmpty() ? null : group.get(0);
+        while (pb != null && pb.rung + by < fairRung(pb)) {
+            kb += stepKb(group, pb.rung + by + 1);
+            if (!room(pb.lastTry().host, kb, STEP_UP_TO)) {
+                break;
+            }
+            by++;
+        }
+        return by;
+    }
+
     /** Time the playback may go on: by its hint, else as if half over. */
     private long timeLeft(Playback pb) {
         return pb.hint > 0 ? pb.hint - (now - pb.playingSince) : USUAL_LEFT;
--- a/src/main/java/cypressvalve/model/Playback.java
+++ b/src/main/java/cypressvalve/model/Playback.java
@@ -22,6 +22,7 @@
     public final List<SetupTry> tries = new ArrayList<>();
     /** The rung in force, and since when. */
     public int rung;
+    public int rungTold;
     public long rungSince;
     public boolean playing;
     public long playingSince;
