A weak uplink that was found fades slowly; noisy reports step nothing down

Cause: where no report tells of the uplink, what short delivery showed of it was forgotten after 10 s while the uplink stayed weak. Should also hold for any lasting shortage above the links. Harm: an uplink that recovers is used less for up to a minute.

--- a/src/main/java/cypressvalve/Control.java
+++ b/src/main/java/cypressvalve/Control.java
@@ -418,13 +418,16 @@
             .mapToDouble(h -> linkLoad(h) * h.link).sum();
     }
 
+    /** A weak uplink stays weak for long: what was found of it fades over the life of some playbacks. */
+    private static final long FOUND_LIFE = 60_000_000_000L;
+
     private double rackLoad(Rack rack) {
         if (settings.uplink <= 0) {
             return 0;
         }
-        double found = rack.found.since(now - REPORT_LIFE) > 0 ? rack.found.value(0) : 1;
-        double guess = rackAsked(rack) / settings.uplink / Math.max(found, 0.1);
-        return told(rack.load, rack.own, settings.uplink, guess);
+        double age = rack.found.size() == 0 ? 1 : Math.min(1, (double) (now - rack.found.time(0)) / FOUND_LIFE);
+        double found = age + (1 - age) * rack.found.newest();
+        return told(rack.load, rack.own, settings.uplink, rackAsked(rack) / settings.uplink / Math.max(found, 0.1));
     }
 
     private double added(Playback pb, MediaHost host, int rung) {
@@ -673,7 +676,8 @@
     /** Told, not guessed: a step on a wrong guess costs as much and must be taken back. */
     private boolean overfull(Playback pb) {
         MediaHost host = pb.lastTry().host;
-        return overfull(Math.max(shortLoad(host), eased(host.load, host.own)), host.own, host.draw, pb)
+        double told = settings.notePeriod > 0 ? eased(host.load, host.own) : 0;
+        return overfull(Math.max(shortLoad(host), told), host.own, host.draw, pb)
             || overfull(eased(host.rack.load, host.rack.own), host.rack.own, host.rack.draw, pb);
     }
 
