--- a/src/main/java/cypressvalve/Control.java
+++ b/src/main/java/cypressvalve/Control.java
@@ -42,7 +42,7 @@
         rule(this::unplaced, this::place),
         rule(this::overfull, group -> step(group, -1)),
         rule(this::stranded, this::move),
-        rule(this::underused, this::stepUp),
+        rule(this::underused, group -> step(group, rungsUp(group))),
         rule(this::untold, this::tellRung));
 
     public Control(Settings settings, long seed, long time, Gateway gateway) {
@@ -143,10 +143,6 @@
         }
     }
 
-    public void left(Playback pb) {
-        over(pb);
-    }
-
     public void delivered(SetupTry setupTry, double share) {
         MediaHost host = setupTry.host;
         host.draw = chance.nextDouble();
@@ -378,18 +374,14 @@
 
     /** Mean of the last reports brought up to now; the guess takes over as they age. */
     private double told(Samples load, Samples own, double capacity, double guess) {
-        int n = load.since(now - REPORT_LIFE);
-        if (n == 0) {
-            return guess;
-        }
         double sum = 0;
         double weights = 0;
-        for (int i = 0; i < n; i++) {
+        for (int i = 0; i < load.since(now - REPORT_LIFE); i++) {
             double weight = 1 - (double) (now - load.time(i)) / REPORT_LIFE;
             sum += weight * (load.value(i) + (own.newest() - own.at(load.time(i))) / capacity);
             weights += weight;
         }
-        double trust = 1 - (double) (now - load.time(0)) / REPORT_LIFE;
+        double trust = weights <= 0 ? 0 : 1 - (double) (now - load.time(0)) / REPORT_LIFE;
         return Math.max(0, trust * sum / Math.max(weights, 1e-9) + (1 - trust) * guess);
     }
 
@@ -474,14 +466,11 @@
             }
         }
         steps.sort(Comparator.comparingDouble(s -> -s[0]));
-        price = 0;
-        for (double[] step : steps) {
-            allowed -= step[1];
-            if (allowed < 0) {
-                price = step[0];
-                break;
-            }
+        int n = 0;
+        while (n < steps.size() && allowed >= steps.get(n)[1]) {
+            allowed -= steps.get(n++)[1];
         }
+        price = n < steps.size() ? steps.get(n)[0] : 0;
         return price;
     }
 
@@ -659,7 +648,8 @@
         playing.add(pb);
     }
 
-    private void over(Playback pb) {
+    /** The playback is over, or its viewer left. */
+    public void over(Playback pb) {
         pb.answered = true;
         open.remove(pb);
     }
@@ -703,16 +693,8 @@
     }
 
     private List<Playback> overfull() {
-        List<Playback> cheapest = null;
-        double least = Double.MAX_VALUE;
-        for (Playback pb : playing) {
-            if (pb.rung > pb.plan.floor && !pb.moving && pb.rung < settings.ladder.length
-                && stepValue(pb, pb.rung) < least && overfull(pb)) {
-                least = stepValue(pb, pb.rung);
-                cheapest = group(pb);
-            }
-        }
-        return cheapest;
+        return playing.stream().filter(pb -> pb.rung > pb.plan.floor && !pb.moving && overfull(pb))
+            .min(Comparator.comparingDouble(pb -> stepValue(pb, pb.rung))).map(this::group).orElse(null);
     }
 
     /** Those that share the playback's stream, which step together. */
@@ -747,35 +729,23 @@
     }
 
     private List<Playback> underused() {
-        for (Playback pb : playing) {
-            if (pb.rung < fairRung(pb) && now - pb.rungSince >= STEP_UP_AFTER && !pb.moving
-                && timeLeft(pb) > STEP_UP_AFTER && shortLoad(pb.lastTry().host) == 0) {
-                List<Playback> group = group(pb).stream().filter(o -> highest(o) >= fairRung(pb)).toList();
-                if (rungsUp(group) > 0) {
-                    return group;
-                }
-            }
-        }
-        return null;
-    }
-
-    private void stepUp(List<Playback> group) {
-        step(group, rungsUp(group));
+        return playing.stream().filter(pb -> pb.rung < fairRung(pb) && now - pb.rungSince >= STEP_UP_AFTER
+            && !pb.moving && timeLeft(pb) > STEP_UP_AFTER && shortLoad(pb.lastTry().host) == 0)
+            .map(pb -> group(pb).stream().filter(o -> highest(o) >= fairRung(pb)).toList())
+            .filter(group -> !group.isEmpty() && rungsUp(group) > 0).findFirst().orElse(null);
     }
 
     /** How many rungs those that share a stream may go up at once, towards their fair rung. */
     private int rungsUp(List<Playback> group) {
-        int by = 0;
+        Playback pb = group.get(0);
+        MediaHost host = pb.lastTry().host;
+        double mark = settings.uplink <= 0 || host.rack.load.since(now - REPORT_LIFE) > 0 ? STEP_UP_TO : T_LOW;
+        int rung = pb.rung;
         double kb = 0;
-        Playback pb = group.isEmpty() ? null : group.get(0);
-        while (pb != null && pb.rung + by < fairRung(pb)) {
-            kb += stepKb(group, pb.rung + by + 1);
-            if (!room(pb.lastTry().host, kb, STEP_UP_TO)) {
-                break;
-            }
-            by++;
+        while (rung < fairRung(pb) && room(host, kb + stepKb(group, rung + 1), mark)) {
+            kb += stepKb(group, ++rung);
         }
-        return by;
+        return rung - pb.rung;
     }
 
     /** Time the playback may go on: by its hint, else as if half over. */
--- a/src/main/java/cypressvalve/adapter/Instance.java
+++ b/src/main/java/cypressvalve/adapter/Instance.java
@@ -88,7 +88,7 @@
             case "VANISHED" -> {
                 Playback playback = playbacks.get(line.text("opId"));
                 if (playback != null) {
-                    control.left(playback);
+                    control.over(playback);
                 }
             }
             case "BELL" -> line.whole("keyBack");
