An unsure gateway spaces its set-ups; paced playbacks wait half their startup target

Spacing keeps the same part of the told pace. Should also hold when a whole deployment restarts. Harm: a crowd for few hosts waits.

--- a/src/main/java/cypressvalve/Control.java
+++ b/src/main/java/cypressvalve/Control.java
@@ -37,7 +37,6 @@
     private final List<BooleanSupplier> rules = List.of(
         rule(this::unfollowed, this::follow),
         rule(this::unwoken, this::wake),
-        rule(this::restarted, this::treatAsCold),
         rule(this::outOfTime, this::answer),
         rule(this::unplaced, this::place),
         rule(this::overfull, group -> step(group, -1)),
@@ -110,9 +109,9 @@
 
     public void started(SetupTry setupTry) {
         setupTry.host.failures.add(now, 0);
-        if (setupTry.host.failureSeen) {
+        if (setupTry.host.failedAt > setupTry.host.startedAt) {
             // It may have started at any time up to now: cold for as long as settings allow.
-            setupTry.host.failureSeen = false;
+            setupTry.host.failedAt = Long.MIN_VALUE;
             setupTry.host.coldUntil = now + settings.coldTime;
         }
         open.remove(setupTry.playback);
@@ -137,7 +136,9 @@
     }
 
     private void blame(MediaHost host, Verdict verdict, boolean failed) {
-        host.failureSeen |= verdict == Verdict.NO_CONNECTION || verdict == Verdict.BROKEN;
+        if (verdict == Verdict.NO_CONNECTION || verdict == Verdict.BROKEN) {
+            host.failedAt = now;
+        }
         if (failed) {
             host.failures.add(now, 1);
         }
@@ -210,20 +211,15 @@
 
     // Rule 4: a media host that may be cold takes a few set-ups at a time, gateways taking turns.
 
-    private MediaHost restarted() {
-        return first(hosts.values(), h -> h.startedAt > h.startSeen);
-    }
-
-    private void treatAsCold(MediaHost host) {
-        host.startSeen = host.startedAt;
-        host.failureSeen = false;
-        host.coldUntil = Math.max(host.coldUntil, host.startedAt + settings.coldTime);
+    /** Just started as told, or seen to fail with no start told since. */
+    private boolean cold(MediaHost host) {
+        return host.failedAt > host.startedAt || host.startedAt > 0 && now < host.startedAt + settings.coldTime
+            || now < host.coldUntil;
     }
 
-    /** A gateway that did not begin with the day has an old list: any media host may be cold. */
-    private boolean cold(MediaHost host) {
-        return host.failureSeen || now < host.coldUntil
-            || !beganWithDay && now < startedAt + settings.coldTime;
+    /** A gateway that did not begin with the day has an old list: any media host may have just started. */
+    private boolean unsure() {
+        return !beganWithDay && now < startedAt + settings.coldTime;
     }
 
     /** Part of the told limit that is used: a set-up may weigh more than the usual one. */
@@ -233,13 +229,15 @@
      * Whether the pace allows a set-up now. Time is cut into slots that belong to one gateway each, by
      * number. Any window of the told length meets two slots at most, so each slot gets half of what the
      * window may hold at the lowest warmth; where that is under one, only a slot's first half is used.
+     * Where the media host is most likely warm, a gateway that is only unsure spaces its set-ups instead.
      */
     private boolean paceAllows(MediaHost host) {
-        if (!cold(host)) {
-            return true;
-        }
         double window = settings.fallMultiple * host.places / Math.max(1, settings.coldTime) * settings.coldShare
             * settings.fallTime * COLD_PART;
+        if (!cold(host)) {
+            return !unsure() || host.sent.size() == 0
+                || now - host.sent.time(0) >= settings.fallTime * settings.gateways / window;
+        }
         boolean halves = window < 2;
         long slot = Math.max(1, settings.fallTime) * (halves ? 2 : 1);
         long begin = now - Math.floorMod(now, slot);
@@ -528,7 +526,11 @@
         int top = fairRung(pb);
         MediaHost host = well.isEmpty() || pb.tries.size() >= settings.mostTries || !withinBudget(pb)
             || !seatFree(pb) ? null : choose(pb, well, top);
-        if (host == null) {
+        if (host == null && now < pb.arrivedAt + pb.plan.startupTarget / 2
+            && all.stream().anyMatch(h -> !paceAllows(h) && !ill(h, median))) {
+            // A paced media host may take it in time.
+            pb.waitUntil = now + BEAT;
+        } else if (host == null) {
             answer(pb);
         } else if (wantsProbe(pb, host)) {
             pb.probed = true;
@@ -768,7 +770,7 @@
                 && host.asked.size() > 1 && host.asked.value(1) > 1 / LOST_SHARE;
             return starved && !pb.moving && !pb.moved && timeLeft(pb) > USUAL_LEFT / 2
                 && (pb.rung == pb.plan.floor || host.asked.value(0) > 2 / LOST_SHARE)
-                && holders(pb).stream().anyMatch(h -> h != host && !cold(h)
+                && holders(pb).stream().anyMatch(h -> h != host && paceAllows(h)
                     && !ill(h, medianFailure()) && room(h, added(pb, h, pb.rung), T_HIGH));
         });
     }
--- a/src/main/java/cypressvalve/model/MediaHost.java
+++ b/src/main/java/cypressvalve/model/MediaHost.java
@@ -20,12 +20,10 @@
     public String zone = "";
 
     public Rack rack;
-    /** The start that the decisions have taken in. */
-    public long startSeen;
-    /** Until then it may be cold. */
+    /** Until then it may be cold, whatever start is told. */
     public long coldUntil = Long.MIN_VALUE;
-    /** This gateway saw it fail and has not been told of a start since. */
-    public boolean failureSeen;
+    /** When this gateway last saw it gone or unreachable, with no set-up done since. */
+    public long failedAt = Long.MIN_VALUE;
     /** Times at which this gateway sent set-ups to it. */
     public final Samples sent = new Samples(64);
     /** Results of set-ups: 1 for a failure, 0 for a success. */
