--- a/src/main/java/cypressvalve/Control.java
+++ b/src/main/java/cypressvalve/Control.java
@@ -29,14 +29,14 @@
     private long startedAt;
     private boolean beganWithDay;
     private long wakeAt = Long.MIN_VALUE;
-    private long followedAt = Long.MIN_VALUE;
+    private boolean mustFollow;
     private long movedAt = Long.MIN_VALUE / 2;
     private double price;
     private long priceAt = Long.MIN_VALUE;
 
     private final List<BooleanSupplier> rules = List.of(
-        rule(this::unfollowed, this::follow),
-        rule(this::unwoken, this::wake),
+        rule(() -> mustFollow ? now : null, this::follow),
+        rule(() -> now >= wakeAt ? now : null, this::wake),
         rule(this::outOfTime, this::answer),
         rule(this::unplaced, this::place),
         rule(this::overfull, group -> step(group, -1)),
@@ -49,6 +49,7 @@
         this.gateway = gateway;
         this.now = time;
         this.startedAt = time;
+        mustFollow = settings.listOnRequest;
         chance = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
         settings.tenants.keySet().forEach(t -> arrivals.add(new Samples(64)));
     }
@@ -71,25 +72,17 @@
             .forEach(h -> h.state = MediaHost.State.GONE);
         for (MediaHost host : named) {
             hosts.put(host.id, host);
-            Rack rack = racks.computeIfAbsent(Math.floorMod(host.cell, settings.racks), Rack::new);
-            if (host.rack != null && host.rack != rack) {
-                host.rack.hosts.remove(host);
-            }
-            if (host.rack != rack) {
-                rack.hosts.add(host);
-                host.rack = rack;
-            }
+            racks.computeIfAbsent(Math.floorMod(host.cell, settings.racks), Rack::new).take(host);
         }
     }
 
     public void listFailed() {
-        followedAt = Math.min(followedAt, now - settings.listAskWithin);
+        mustFollow = settings.listOnRequest;
     }
 
     public void requested(Playback pb) {
         taken.add(now, 1);
-        pb.rung = pb.plan.floor;
-        pb.rungTold = pb.rung;
+        pb.rung = pb.rungTold = pb.plan.floor;
         if (pb.tenant >= 0) {
             arrivals.get(pb.tenant).add(now, 1);
             pb.overShare = overShare(pb.tenant);
@@ -99,8 +92,7 @@
 
     public void handedOver(Playback pb, MediaHost host) {
         beganWithDay = true;
-        pb.rung = pb.plan.floor;
-        pb.rungTold = pb.rung;
+        pb.rung = pb.rungTold = pb.plan.floor;
         pb.tries.add(new SetupTry(pb, host, 0, now));
         host.carried.add(pb.lastTry());
         begin(pb);
@@ -185,27 +177,17 @@
         };
     }
 
-    // Where the list must be asked for, a standing subscription is kept.
-
-    private Settings unfollowed() {
-        return settings.listOnRequest && (followedAt == Long.MIN_VALUE
-            || now - followedAt >= settings.listAskWithin) ? settings : null;
-    }
-
-    private void follow(Settings s) {
-        followedAt = now;
+    /** Where the list must be asked for, a standing subscription is kept. */
+    private void follow(long at) {
+        mustFollow = false;
         gateway.followList(true);
     }
 
     /** How often waiting playbacks and loads are looked at again: well under any startup target. */
     private static final long BEAT = 50_000_000;
 
-    private Settings unwoken() {
-        return now >= wakeAt ? settings : null;
-    }
-
-    private void wake(Settings s) {
-        wakeAt = now + BEAT;
+    private void wake(long at) {
+        wakeAt = at + BEAT;
         gateway.wakeAt(wakeAt);
     }
 
@@ -232,8 +214,8 @@
      * Where the media host is most likely warm, a gateway that is only unsure spaces its set-ups instead.
      */
     private boolean paceAllows(MediaHost host) {
-        double window = settings.fallMultiple * host.places / Math.max(1, settings.coldTime) * settings.coldShare
-            * settings.fallTime * COLD_PART;
+        double window = settings.fallMultiple * host.places * settings.coldShare * COLD_PART
+            * settings.fallTime / Math.max(1, settings.coldTime);
         if (!cold(host)) {
             return !unsure() || host.sent.size() == 0
                 || now - host.sent.time(0) >= settings.fallTime * settings.gateways / window;
@@ -254,7 +236,7 @@
     /** Time kept before the abandon time: a few rounds of the wire. */
     private static final long MARGIN = 40_000_000;
 
-    private SetupTry mayHaveRun(Playback pb) {
+    private static SetupTry mayHaveRun(Playback pb) {
         return first(pb.tries, t -> t.verdict == null || !NEVER_RAN.contains(t.verdict));
     }
 
@@ -396,7 +378,7 @@
 
     /** What is asked over what arrives while delivery is short, else 0; all gateways ease off alike. */
     private double shortLoad(MediaHost host) {
-        return host.asked.size() == 0 || host.asked.value(0) <= 1 / FULL_SHARE ? 0 : eased(host.asked, host.own);
+        return host.asked.newest() <= 1 / FULL_SHARE ? 0 : eased(host.asked, host.own);
     }
 
     private double load(MediaHost host) {
@@ -441,7 +423,7 @@
         return revenue * (settings.rungRevenue[rung] - settings.rungRevenue[rung - 1]) / Math.max(kb, 1e-9);
     }
 
-    /** Departure: each set-up at the top rung would leave none for the next. See docs/design.md, fair rung. */
+    /** Departure: set-ups at the top rung would leave no room for the next. See docs/design.md, fair rung. */
     private double price() {
         if (priceAt == now) {
             return price;
@@ -473,7 +455,8 @@
     }
 
     private int highest(Playback pb) {
-        return Math.max(pb.plan.floor, Math.min(Math.min(pb.ceiling, pb.plan.top), settings.ladder.length - 1));
+        int most = Math.min(pb.ceiling, settings.ladder.length - 1);
+        return Math.max(pb.plan.floor, Math.min(most, pb.plan.top));
     }
 
     private int fairRung(Playback pb) {
@@ -568,7 +551,8 @@
             List<MediaHost> light = roomy.stream()
                 .filter(h -> load(h) < T_LOW || h.joins(pb, b)).toList();
             MediaHost least = (light.isEmpty() ? roomy : light).stream()
-                .min(Comparator.comparingDouble(h -> added(pb, h, b) / (h.link * (1 - load(h))))).orElse(null);
+                .min(Comparator.comparingDouble(h -> added(pb, h, b) / (h.link * (1 - load(h)))))
+                .orElse(null);
             if (least != null) {
                 return least;
             }
@@ -591,7 +575,8 @@
         boolean uplink = settings.uplink > 0 && rackLoad(host.rack) + kb / settings.uplink > T_HIGH;
         List<Playback> yielding = playing.stream().filter(o -> o.rung > o.plan.floor && !o.moving
             && (uplink ? o.lastTry().host.rack == host.rack : o.lastTry().host == host)
-            && stepValue(o, o.rung) < value).sorted(Comparator.comparingDouble(o -> stepValue(o, o.rung))).toList();
+            && stepValue(o, o.rung) < value)
+            .sorted(Comparator.comparingDouble(o -> stepValue(o, o.rung))).toList();
         double gain = yielding.stream().mapToDouble(o -> (o.plan.rates[o.rung] - o.plan.rates[o.plan.floor])
             * (o.plan.live ? settings.joinShare : 1)).sum();
         double over = Math.max((load(host) - T_HIGH) * host.link + kb,
@@ -607,7 +592,8 @@
     /** The highest rung at which the playback has room to share a stream there, or -1. */
     private int joinRung(Playback pb, MediaHost host) {
         int rung = highest(pb);
-        while (rung >= pb.plan.floor && !(host.joins(pb, rung) && room(host, added(pb, host, rung), T_HIGH))) {
+        while (rung >= pb.plan.floor
+            && !(host.joins(pb, rung) && room(host, added(pb, host, rung), T_HIGH))) {
             rung--;
         }
         return rung >= pb.plan.floor ? rung : -1;
--- a/src/main/java/cypressvalve/model/MediaHost.java
+++ b/src/main/java/cypressvalve/model/MediaHost.java
@@ -32,7 +32,7 @@
     public final Samples load = new Samples(4);
     /** A number from 0 to 1 drawn with the last of these. */
     public double draw;
-    /** What was asked for over what arrived, as the told share of delivery gives it; 1 if nothing is short. */
+    /** What was asked for over what arrived, by the told share of delivery; 1 if nothing is short. */
     public final Samples asked = new Samples(4);
     /** What this gateway's own playbacks ask of it, kB a second. */
     public final Samples own = new Samples(128);
--- a/src/main/java/cypressvalve/model/Rack.java
+++ b/src/main/java/cypressvalve/model/Rack.java
@@ -19,4 +19,15 @@
     public Rack(int number) {
         this.number = number;
     }
+
+    /** Puts the media host into this rack, out of any other. */
+    public void take(MediaHost host) {
+        if (host.rack != this) {
+            if (host.rack != null) {
+                host.rack.hosts.remove(host);
+            }
+            hosts.add(host);
+            host.rack = this;
+        }
+    }
 }
