--- a/src/main/java/cypressvalve/Control.java
+++ b/src/main/java/cypressvalve/Control.java
@@ -19,7 +19,6 @@
     private final RandomGenerator chance;
     private final TreeMap<Long, MediaHost> hosts = new TreeMap<>();
     private final TreeMap<Integer, Rack> racks = new TreeMap<>();
-    /** Playbacks that still wait for their answer, and those that play. */
     private final List<Playback> open = new ArrayList<>();
     private final List<Playback> playing = new ArrayList<>();
     private final Samples taken = new Samples(1024);
@@ -195,8 +194,8 @@
 
     /** Just started as told, or seen to fail with no start told since. */
     private boolean cold(MediaHost host) {
-        return host.failedAt > host.startedAt || host.startedAt > 0 && now < host.startedAt + settings.coldTime
-            || now < host.coldUntil;
+        return host.failedAt > host.startedAt || now < host.coldUntil
+            || host.startedAt > 0 && now < host.startedAt + settings.coldTime;
     }
 
     /** A gateway that did not begin with the day has an old list: any media host may have just started. */
@@ -233,6 +232,8 @@
     /** Verdicts that prove that the try never ran. */
     private static final Set<Verdict> NEVER_RAN =
         EnumSet.of(Verdict.FULL, Verdict.NO_CONNECTION, Verdict.NOT_SENT);
+    /** When to come back: long enough for a playback to end somewhere or a report to arrive. */
+    private static final long COME_BACK = 500_000_000;
     /** Time kept before the abandon time: a few rounds of the wire. */
     private static final long MARGIN = 40_000_000;
 
@@ -265,9 +266,6 @@
         }
     }
 
-    /** Long enough for a playback to end somewhere or a report to arrive. */
-    private static final long COME_BACK = 500_000_000;
-
     private boolean mayTry(Playback pb, MediaHost host) {
         SetupTry ran = mayHaveRun(pb);
         boolean again = switch (pb.plan.effect) {
@@ -397,9 +395,10 @@
         if (settings.uplink <= 0) {
             return 0;
         }
-        double age = rack.found.size() == 0 ? 1 : Math.min(1, (double) (now - rack.found.time(0)) / FOUND_LIFE);
-        double found = age + (1 - age) * rack.found.newest();
-        return told(rack.load, rack.own, settings.uplink, rackAsked(rack) / settings.uplink / Math.max(found, 0.1));
+        double trust = rack.found.since(now - FOUND_LIFE) == 0 ? 0
+            : 1 - (double) (now - rack.found.time(0)) / FOUND_LIFE;
+        double given = settings.uplink * Math.max(0.1, 1 - trust + trust * rack.found.newest());
+        return told(rack.load, rack.own, settings.uplink, rackAsked(rack) / given);
     }
 
     private double added(Playback pb, MediaHost host, int rung) {
@@ -509,17 +508,16 @@
         int top = fairRung(pb);
         MediaHost host = well.isEmpty() || pb.tries.size() >= settings.mostTries || !withinBudget(pb)
             || !seatFree(pb) ? null : choose(pb, well, top);
-        if (host == null && now < pb.arrivedAt + pb.plan.startupTarget / 2
+        if (host == null && pb.tries.isEmpty() && now < pb.arrivedAt + pb.plan.startupTarget / 2
             && all.stream().anyMatch(h -> !paceAllows(h) && !ill(h, median))) {
             // A paced media host may take it in time.
             pb.waitUntil = now + BEAT;
         } else if (host == null) {
             answer(pb);
         } else if (wantsProbe(pb, host)) {
-            pb.probed = true;
+            pb.probed = host.probeOut = true;
             pb.waitUntil = now + PROBE_WAIT;
             host.probedAt = now;
-            host.probeOut = true;
             gateway.probe(host);
         } else {
             send(pb, host, rungAt(pb, host, top));
@@ -548,8 +546,7 @@
             int b = rung;
             List<MediaHost> roomy = well.stream().filter(h -> (h != home || b < top)
                 && room(h, added(pb, h, b), T_HIGH)).toList();
-            List<MediaHost> light = roomy.stream()
-                .filter(h -> load(h) < T_LOW || h.joins(pb, b)).toList();
+            List<MediaHost> light = roomy.stream().filter(h -> load(h) < T_LOW || h.joins(pb, b)).toList();
             MediaHost least = (light.isEmpty() ? roomy : light).stream()
                 .min(Comparator.comparingDouble(h -> added(pb, h, b) / (h.link * (1 - load(h)))))
                 .orElse(null);
@@ -629,10 +626,8 @@
     }
 
     private void begin(Playback pb) {
-        pb.answered = true;
-        pb.playing = true;
-        pb.playingSince = now;
-        pb.rungSince = now;
+        pb.answered = pb.playing = true;
+        pb.playingSince = pb.rungSince = now;
         playing.add(pb);
     }
 
@@ -705,8 +700,9 @@
         return first(playing, pb -> pb.rung != pb.rungTold);
     }
 
+    /** Rule 5's guard: whatever a rule wished, no rung leaves that is under the floor or over the highest. */
     private void tellRung(Playback pb) {
-        pb.rungTold = pb.rung;
+        pb.rung = pb.rungTold = Math.max(pb.plan.floor, Math.min(pb.rung, highest(pb)));
         gateway.setRung(pb, pb.rung);
     }
 
@@ -727,10 +723,11 @@
     private int rungsUp(List<Playback> group) {
         Playback pb = group.get(0);
         MediaHost host = pb.lastTry().host;
-        double mark = settings.uplink <= 0 || host.rack.load.since(now - REPORT_LIFE) > 0 ? STEP_UP_TO : T_LOW;
+        boolean guessed = settings.uplink > 0 && host.rack.load.since(now - REPORT_LIFE) == 0;
+        int most = Math.min(fairRung(pb), group.stream().mapToInt(this::highest).min().orElse(0));
         int rung = pb.rung;
         double kb = 0;
-        while (rung < fairRung(pb) && room(host, kb + stepKb(group, rung + 1), mark)) {
+        while (rung < most && room(host, kb + stepKb(group, rung + 1), guessed ? T_LOW : STEP_UP_TO)) {
             kb += stepKb(group, ++rung);
         }
         return rung - pb.rung;
--- a/src/test/java/cypressvalve/ScenarioTest.java
+++ b/src/test/java/cypressvalve/ScenarioTest.java
@@ -71,7 +71,8 @@
         List<String> lines = Files.readAllLines(FOLDER.resolve(name));
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         ByteArrayOutputStream err = new ByteArrayOutputStream();
-        int exit = Adapter.run(new ByteArrayInputStream(part(lines, "> ").getBytes(StandardCharsets.UTF_8)), out,
+        byte[] in = part(lines, "> ").getBytes(StandardCharsets.UTF_8);
+        int exit = Adapter.run(new ByteArrayInputStream(in), out,
             new PrintStream(err, true, StandardCharsets.UTF_8));
         assertEquals(part(lines, "! "), err.toString(StandardCharsets.UTF_8));
         assertEquals(part(lines, "< "), out.toString(StandardCharsets.UTF_8));
--- a/src/test/java/cypressvalve/Stage.java
+++ b/src/test/java/cypressvalve/Stage.java
@@ -61,7 +61,8 @@
                 }
                 now = until;
             }
-            case "list" -> tell(() -> control.listed(Arrays.stream(w).skip(1).map(hosts::get).toList(), false));
+            case "list" -> tell(() ->
+                control.listed(Arrays.stream(w).skip(1).map(hosts::get).toList(), false));
             case "request" -> tell(() -> control.requested(playback(w[1], f)));
             case "handover" -> tell(() -> {
                 Playback pb = playback(w[1], f);
@@ -71,9 +72,10 @@
             case "started" -> tell(() -> control.started(playbacks.get(w[1]).lastTry()));
             case "back" -> tell(() -> control.cameBack(playbacks.get(w[1]).lastTry(), Verdict.valueOf(w[2]),
                 f.containsKey("finished"), Double.NaN, Double.NaN));
-            case "delivered" -> tell(() -> control.delivered(playbacks.get(w[1]).lastTry(), Double.parseDouble(w[2])));
-            case "load" -> tell(() -> control.loadTold(playbacks.get(w[1]).lastTry(), Double.parseDouble(w[2]),
-                w.length > 3 ? Double.parseDouble(w[3]) : Double.NaN));
+            case "delivered" -> tell(() ->
+                control.delivered(playbacks.get(w[1]).lastTry(), Double.parseDouble(w[2])));
+            case "load" -> tell(() -> control.loadTold(playbacks.get(w[1]).lastTry(),
+                Double.parseDouble(w[2]), w.length > 3 ? Double.parseDouble(w[3]) : Double.NaN));
             case "probed" -> tell(() -> control.probed(hosts.get(w[1]), Verdict.valueOf(w[2]),
                 w.length > 3 ? Double.parseDouble(w[3]) : Double.NaN, Double.NaN));
             case "left" -> tell(() -> control.over(playbacks.get(w[1])));
