Nobody is turned away on a guessed uplink alone

Cause: where no report tells of the uplink, a wrong guess of it rejected viewers whose lowest rung cost next to nothing; they came again two or three times. Harm: a truly short uplink gets some more lowest rungs until short delivery is told.

--- a/src/main/java/cypressvalve/Control.java
+++ b/src/main/java/cypressvalve/Control.java
@@ -207,10 +207,9 @@
     private static final double COLD_PART = 0.6;
 
     /**
-     * Whether the pace allows a set-up now. Time is cut into slots that belong to one gateway each, by
-     * number. Any window of the told length meets two slots at most, so each slot gets half of what the
-     * window may hold at the lowest warmth; where that is under one, only a slot's first half is used.
-     * Where the media host is most likely warm, a gateway that is only unsure spaces its set-ups instead.
+     * Time is cut into slots that belong to one gateway each, by number. Any window meets two slots at most,
+     * so each gets half of what the window may hold at the lowest warmth; where that is under one, only a
+     * slot's first half is used. A gateway that is only unsure of the start spaces its set-ups instead.
      */
     private boolean paceAllows(MediaHost host) {
         double window = settings.fallMultiple * host.places * settings.coldShare * COLD_PART
@@ -401,6 +400,10 @@
         return told(rack.load, rack.own, settings.uplink, rackAsked(rack) / given);
     }
 
+    private boolean guessed(Rack rack) {
+        return settings.uplink > 0 && rack.load.since(now - REPORT_LIFE) == 0;
+    }
+
     private double added(Playback pb, MediaHost host, int rung) {
         return pb.plan.rates[rung] * (host.joins(pb, rung) ? settings.joinShare : 1);
     }
@@ -557,14 +560,15 @@
                 return home;
             }
         }
-        return well.stream().sorted(Comparator.comparingDouble(this::load)).filter(h -> makeRoom(pb, h))
+        // Departure: nobody is turned away on a guess: a guessed uplink alone keeps no lowest rung out.
+        return well.stream().sorted(Comparator.comparingDouble(this::load)).filter(h -> makeRoom(pb, h)
+            || guessed(h.rack) && load(h) + added(pb, h, pb.plan.floor) / h.link <= T_HIGH)
             .findFirst().orElse(null);
     }
 
     /**
-     * Departure: no holder has room even at the lowest rung. Before a viewer is turned away, playing ones of
-     * this gateway give up steps that are worth less for their rate. Acts on any lack of room; it could harm
-     * where the load told is far too high.
+     * Departure: before a viewer is turned away, playing ones of this gateway give up steps that are worth
+     * less for their rate. Acts on any lack of room; it could harm where the load told is far too high.
      */
     private boolean makeRoom(Playback pb, MediaHost host) {
         double kb = added(pb, host, pb.plan.floor);
@@ -655,9 +659,8 @@
     }
 
     /**
-     * A step that takes off more than this gateway's part of the excess is made with a chance of that part
-     * over it, drawn once a report: few playbacks on a link make steps coarse, and gateways that all round
-     * up would leave it half empty.
+     * A step of more than this gateway's part of the excess is made with a chance of that part over it, drawn
+     * once a report: steps are coarse, and gateways that all round up would leave a link half empty.
      */
     private boolean overfull(double load, Samples own, double draw, Playback pb) {
         return load > STEP_DOWN_AT && own.newest() * (1 - 1 / load) > draw * stepKb(group(pb), pb.rung);
@@ -723,11 +726,10 @@
     private int rungsUp(List<Playback> group) {
         Playback pb = group.get(0);
         MediaHost host = pb.lastTry().host;
-        boolean guessed = settings.uplink > 0 && host.rack.load.since(now - REPORT_LIFE) == 0;
         int most = Math.min(fairRung(pb), group.stream().mapToInt(this::highest).min().orElse(0));
         int rung = pb.rung;
         double kb = 0;
-        while (rung < most && room(host, kb + stepKb(group, rung + 1), guessed ? T_LOW : STEP_UP_TO)) {
+        while (rung < most && room(host, kb + stepKb(group, rung + 1), guessed(host.rack) ? T_LOW : STEP_UP_TO)) {
             kb += stepKb(group, ++rung);
         }
         return rung - pb.rung;
