--- a/src/main/java/cypressvalve/Control.java
+++ b/src/main/java/cypressvalve/Control.java
@@ -31,6 +31,7 @@
     private boolean mustFollow;
     private long movedAt = Long.MIN_VALUE / 2;
     private double price;
+    private double linkScale;
     private long priceAt = Long.MIN_VALUE;
 
     private final List<BooleanSupplier> rules = List.of(
@@ -69,7 +70,13 @@
     public void listed(List<MediaHost> named, boolean whole) {
         hosts.values().stream().filter(h -> whole && !named.contains(h))
             .forEach(h -> h.state = MediaHost.State.GONE);
+        if (linkScale <= 0 && !named.isEmpty()) {
+            // Told sizes are rough one by one; their mean is known, from all links and the number of cells.
+            double mean = named.stream().mapToDouble(h -> h.link).average().orElse(1);
+            linkScale = settings.fleet > 0 ? settings.fleet / settings.cells / mean : 1;
+        }
         for (MediaHost host : named) {
+            host.link *= linkScale;
             hosts.put(host.id, host);
             racks.computeIfAbsent(Math.floorMod(host.cell, settings.racks), Rack::new).take(host);
         }
@@ -163,8 +170,6 @@
         open.forEach(pb -> pb.waitUntil = Math.min(pb.waitUntil, now));
     }
 
-    // The rules' machinery.
-
     private static <T> BooleanSupplier rule(Supplier<T> condition, Consumer<T> effect) {
         return () -> {
             T subject = condition.get();
@@ -490,12 +495,8 @@
     }
 
     private static long hash(String key, long id) {
-        long h = id * 0x9E3779B97F4A7C15L;
-        for (int i = 0; i < key.length(); i++) {
-            h = (h ^ key.charAt(i)) * 0xBF58476D1CE4E5B9L;
-            h ^= h >>> 29;
-        }
-        return h;
+        long h = (key.hashCode() + id * 0x9E3779B97F4A7C15L) * 0xBF58476D1CE4E5B9L;
+        return (h ^ h >>> 31) * 0x94D049BB133111EBL;
     }
 
     private void place(Playback pb) {
@@ -729,7 +730,8 @@
         int most = Math.min(fairRung(pb), group.stream().mapToInt(this::highest).min().orElse(0));
         int rung = pb.rung;
         double kb = 0;
-        while (rung < most && room(host, kb + stepKb(group, rung + 1), guessed(host.rack) ? T_LOW : STEP_UP_TO)) {
+        double mark = guessed(host.rack) ? T_LOW : STEP_UP_TO;
+        while (rung < most && room(host, kb + stepKb(group, rung + 1), mark)) {
             kb += stepKb(group, ++rung);
         }
         return rung - pb.rung;
@@ -766,12 +768,7 @@
         gateway.move(pb);
     }
 
-    private static <T> T first(Iterable<T> items, Predicate<T> wanted) {
-        for (T item : items) {
-            if (wanted.test(item)) {
-                return item;
-            }
-        }
-        return null;
+    private static <T> T first(List<T> items, Predicate<T> wanted) {
+        return items.stream().filter(wanted).findFirst().orElse(null);
     }
 }
--- a/src/main/java/cypressvalve/adapter/SettingsReader.java
+++ b/src/main/java/cypressvalve/adapter/SettingsReader.java
@@ -106,6 +106,7 @@
         s.cells = (int) Math.max(1, number(family, "places", 1));
         s.racks = (int) Math.max(1, number(family, "shelves", 1));
         s.linkPerRating = number(family, "weightKb", 0);
+        s.fleet = number(family, "fleetKb", 0);
         s.uplink = number(family, "uplinkKb", 0);
         s.joinShare = number(family, "sharedAdds", 1);
         s.fullFrom = number(family, "fullFrom", 0);
--- a/src/main/java/cypressvalve/model/Settings.java
+++ b/src/main/java/cypressvalve/model/Settings.java
@@ -22,6 +22,8 @@
     public int racks = 1;
     public Map<String, Double> places = new LinkedHashMap<>();
     public double linkPerRating;
+    /** All links together at the start, 0 if not told. */
+    public double fleet;
     public double uplink;
     /** What a further viewer adds to a shared stream, as a part of the rate. */
     public double joinShare = 1;
