--- a/src/main/java/cypressvalve/Control.java
+++ b/src/main/java/cypressvalve/Control.java
@@ -717,8 +717,9 @@
     }
 
     private List<Playback> underused() {
-        return playing.stream().filter(pb -> pb.rung < fairRung(pb) && now - pb.rungSince >= STEP_UP_AFTER
-            && !pb.moving && timeLeft(pb) > STEP_UP_AFTER && shortLoad(pb.lastTry().host) == 0)
+        return playing.stream().filter(pb -> pb.rung < highest(pb) && now - pb.rungSince >= STEP_UP_AFTER
+            && !pb.moving && timeLeft(pb) > STEP_UP_AFTER && shortLoad(pb.lastTry().host) == 0
+            && pb.rung < fairRung(pb))
             .map(pb -> group(pb).stream().filter(o -> highest(o) >= fairRung(pb)).toList())
             .filter(group -> !group.isEmpty() && rungsUp(group) > 0).findFirst().orElse(null);
     }
