--- a/src/main/java/cypressvalve/Control.java
+++ b/src/main/java/cypressvalve/Control.java
@@ -3,8 +3,7 @@
 import cypressvalve.model.*;
 import java.util.*;
 import java.util.function.*;
-import java.util.random.RandomGenerator;
-import java.util.random.RandomGeneratorFactory;
+import java.util.random.*;
 import java.util.stream.IntStream;
 
 /**
@@ -203,11 +202,6 @@
             || host.startedAt > 0 && now < host.startedAt + settings.coldTime;
     }
 
-    /** A gateway that did not begin with the day has an old list: any media host may have just started. */
-    private boolean unsure() {
-        return !beganWithDay && now < startedAt + settings.coldTime;
-    }
-
     /** Part of the told limit that is used: a set-up may weigh more than the usual one. */
     private static final double COLD_PART = 0.6;
 
@@ -220,7 +214,8 @@
         double window = settings.fallMultiple * host.places * settings.coldShare * COLD_PART
             * settings.fallTime / Math.max(1, settings.coldTime);
         if (!cold(host)) {
-            return !unsure() || host.sent.size() == 0
+            // A gateway that did not begin with the day has an old list: any host may have just started.
+            return beganWithDay || now >= startedAt + settings.coldTime || host.sent.size() == 0
                 || now - host.sent.time(0) >= settings.fallTime * settings.gateways / window;
         }
         boolean halves = window < 2;
@@ -413,9 +408,13 @@
         return pb.plan.rates[rung] * (host.joins(pb, rung) ? settings.joinShare : 1);
     }
 
+    /** A told uplink may be fuller than a link: it sums some ten times the playbacks and swings less. */
+    private static final double UPLINK_MORE = 0.08;
+
     private boolean room(MediaHost host, double kb, double mark) {
         return load(host) + kb / host.link <= mark
-            && (settings.uplink <= 0 || rackLoad(host.rack) + kb / settings.uplink <= mark);
+            && (settings.uplink <= 0 || rackLoad(host.rack) + kb / settings.uplink
+            <= (guessed(host.rack) ? mark : mark + UPLINK_MORE));
     }
 
     // What a step of rung is worth, and the price at which the fleet would be full.
@@ -440,7 +439,8 @@
         double links = up.stream().mapToDouble(h -> h.link).sum();
         double asked = up.stream().mapToDouble(h -> linkLoad(h) * h.link).sum();
         double own = up.stream().mapToDouble(h -> h.own.newest()).sum();
-        double uplinks = racks.values().stream().mapToDouble(this::rackLoad).average().orElse(0);
+        double uplinks = racks.values().stream()
+            .mapToDouble(r -> rackLoad(r) - (guessed(r) ? 0 : UPLINK_MORE)).average().orElse(0);
         double allowed = own * T_HIGH / Math.max(Math.max(asked / Math.max(links, 1), uplinks), 1e-3);
         List<double[]> steps = new ArrayList<>();
         for (Playback pb : playing) {
@@ -647,7 +647,7 @@
     /** Step down above this: beyond it the spread of true rates makes delivery short. */
     private static final double STEP_DOWN_AT = 1.02;
     /** Step up only where the step leaves this much free, so that it is not taken back. */
-    private static final double STEP_UP_TO = 0.75;
+    private static final double STEP_UP_TO = 0.8;
     /** A rung is kept at least so long before a step up: several times what a step costs. */
     private static final long STEP_UP_AFTER = 8_000_000_000L;
 
