--- a/src/main/java/cypressvalve/Control.java
+++ b/src/main/java/cypressvalve/Control.java
@@ -325,7 +325,7 @@
 
     /** Marks of the design page. */
     private static final double T_LOW = 0.6;
-    private static final double T_HIGH = 0.9;
+    private static final double T_HIGH = 0.85;
     private static final double P_MAX = 0.5;
     /** Reports in answers are refreshed some times a second and arrive late. */
     private static final long REPORT_AGE = 400_000_000;
@@ -408,13 +408,13 @@
         return pb.plan.rates[rung] * (host.joins(pb, rung) ? settings.joinShare : 1);
     }
 
-    /** A told uplink may be fuller than a link: it sums some ten times the playbacks and swings less. */
-    private static final double UPLINK_MORE = 0.04;
+    /** An uplink may be fuller than a link: it sums some ten times the playbacks and swings less. */
+    private static final double UPLINK_MORE = 0.08;
 
     private boolean room(MediaHost host, double kb, double mark) {
         return load(host) + kb / host.link <= mark
             && (settings.uplink <= 0 || rackLoad(host.rack) + kb / settings.uplink
-            <= (guessed(host.rack) ? mark : mark + UPLINK_MORE));
+            <= mark + UPLINK_MORE);
     }
 
     // What a step of rung is worth, and the price at which the fleet would be full.
@@ -440,7 +440,7 @@
         double asked = up.stream().mapToDouble(h -> linkLoad(h) * h.link).sum();
         double own = up.stream().mapToDouble(h -> h.own.newest()).sum();
         double uplinks = racks.values().stream()
-            .mapToDouble(r -> rackLoad(r) - (guessed(r) ? 0 : UPLINK_MORE)).average().orElse(0);
+            .mapToDouble(r -> rackLoad(r) - UPLINK_MORE).average().orElse(0);
         double allowed = own * T_HIGH / Math.max(Math.max(asked / Math.max(links, 1), uplinks), 1e-3);
         List<double[]> steps = new ArrayList<>();
         for (Playback pb : playing) {
@@ -647,7 +647,7 @@
     /** Step down above this: beyond it the spread of true rates makes delivery short. */
     private static final double STEP_DOWN_AT = 1.02;
     /** Step up only where the step leaves this much free, so that it is not taken back. */
-    private static final double STEP_UP_TO = 0.85;
+    private static final double STEP_UP_TO = 0.8;
     /** A rung is kept at least so long before a step up: several times what a step costs. */
     private static final long STEP_UP_AFTER = 8_000_000_000L;
 
