An uplink counts as short only if two thirds of its used hosts are

Should also catch a mix of hung and slow hosts in a rack. Harm: an uplink that few of our playbacks cross is found later.

--- a/src/main/java/cypressvalve/Control.java
+++ b/src/main/java/cypressvalve/Control.java
@@ -145,8 +145,10 @@
         MediaHost host = setupTry.host;
         host.draw = chance.nextDouble();
         host.asked.add(now - settings.noteDelay - SMOOTHED, 1 / Math.max(share, 0.05));
-        boolean rackToo = host.rack.hosts.stream().anyMatch(h -> h != host && shortLoad(h) > 0);
-        if (share < FULL_SHARE && rackToo && linkLoad(host) < 1 && settings.uplink > 0) {
+        // An uplink is short for all behind it: a few weak links in a rack say nothing of it.
+        List<MediaHost> used = host.rack.hosts.stream().filter(h -> !h.carried.isEmpty()).toList();
+        long shortOnes = used.stream().filter(h -> shortLoad(h) > 0).count();
+        if (shortOnes > 1 && shortOnes * 3 >= used.size() * 2 && linkLoad(host) < 1 && settings.uplink > 0) {
             host.rack.found.add(now, Math.min(1, rackAsked(host.rack) / settings.uplink * share));
         }
     }
@@ -364,9 +366,8 @@
 
     /** Link use without reports: own playbacks, and as much again on average for each other gateway. */
     private double guess(MediaHost host) {
-        double mean = hosts.values().stream().filter(h -> h.state == MediaHost.State.ACTIVE)
-            .mapToDouble(h -> h.own.newest()).average().orElse(0);
-        return (host.own.newest() + (settings.gateways - 1) * mean) / host.link;
+        double all = racks.values().stream().mapToDouble(r -> r.own.newest()).sum();
+        return (host.own.newest() + (settings.gateways - 1) * all / hosts.size()) / host.link;
     }
 
     private double linkLoad(MediaHost host) {
