--- a/src/main/java/cypressvalve/Control.java
+++ b/src/main/java/cypressvalve/Control.java
@@ -89,8 +89,11 @@
         taken.add(now, 1);
         pb.rung = pb.rungTold = pb.plan.floor;
         if (pb.tenant >= 0) {
-            arrivals.get(pb.tenant).add(now, 1);
-            pb.overShare = overShare(pb.tenant);
+            Samples asked = arrivals.get(pb.tenant);
+            asked.add(now, 1);
+            double rate = asked.since(now - REPORT_LIFE) * 1e9 / REPORT_LIFE * settings.gateways;
+            pb.overShare = settings.allowance[pb.tenant] > 0 && now - startedAt > REPORT_LIFE
+                && rate > settings.allowance[pb.tenant];
         }
         open.add(pb);
     }
@@ -223,11 +226,14 @@
         boolean halves = window < 2;
         long slot = Math.max(1, settings.fallTime) * (halves ? 2 : 1);
         long begin = now - Math.floorMod(now, slot);
-        return Math.floorMod(now / slot, settings.gateways) == settings.me
-            && (!halves || now - begin < slot / 2)
+        return myTurn(slot) && (!halves || now - begin < slot / 2)
             && host.sent.since(begin) < Math.max(1, (int) (window / 2));
     }
 
+    private boolean myTurn(long slot) {
+        return Math.floorMod(now / slot, settings.gateways) == settings.me;
+    }
+
     // Rules 1 and 2: one answer, in time; nothing set up twice that must not be.
 
     /** Verdicts that prove that the try never ran. */
@@ -475,12 +481,6 @@
         return rung;
     }
 
-    private boolean overShare(int tenant) {
-        double allowance = settings.allowance[tenant];
-        double rate = arrivals.get(tenant).since(now - REPORT_LIFE) * 1e9 / REPORT_LIFE;
-        return allowance > 0 && now - startedAt > REPORT_LIFE && rate * settings.gateways > allowance;
-    }
-
     // The ordinary path.
 
     private Playback unplaced() {
@@ -515,7 +515,6 @@
             || !seatFree(pb) ? null : choose(pb, well, top);
         if (host == null && pb.tries.isEmpty() && now < pb.arrivedAt + pb.plan.startupTarget / 2
             && all.stream().anyMatch(h -> !paceAllows(h) && !ill(h, median))) {
-            // A paced media host may take it in time.
             pb.waitUntil = now + BEAT;
         } else if (host == null) {
             answer(pb);
@@ -717,10 +716,11 @@
         return (rates[rung] - rates[rung - 1]) * (1 + settings.joinShare * (group.size() - 1));
     }
 
+    /** In turns, each long enough for the others to be told: all would go up into the same room at once. */
     private List<Playback> underused() {
-        return playing.stream().filter(pb -> pb.rung < highest(pb) && now - pb.rungSince >= STEP_UP_AFTER
-            && !pb.moving && timeLeft(pb) > STEP_UP_AFTER && shortLoad(pb.lastTry().host) == 0
-            && pb.rung < fairRung(pb))
+        return !myTurn(settings.noteDelay + SMOOTHED + settings.notePeriod) ? null : playing.stream()
+            .filter(pb -> pb.rung < highest(pb) && now - pb.rungSince >= STEP_UP_AFTER && !pb.moving
+            && timeLeft(pb) > STEP_UP_AFTER && shortLoad(pb.lastTry().host) == 0 && pb.rung < fairRung(pb))
             .map(pb -> group(pb).stream().filter(o -> highest(o) >= fairRung(pb)).toList())
             .filter(group -> !group.isEmpty() && rungsUp(group) > 0).findFirst().orElse(null);
     }
