--- a/src/main/java/cypressvalve/Control.java
+++ b/src/main/java/cypressvalve/Control.java
@@ -46,8 +46,7 @@
     public Control(Settings settings, long seed, long time, Gateway gateway) {
         this.settings = settings;
         this.gateway = gateway;
-        this.now = time;
-        this.startedAt = time;
+        this.now = this.startedAt = time;
         mustFollow = settings.listOnRequest;
         chance = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
         settings.tenants.keySet().forEach(t -> arrivals.add(new Samples(64)));
@@ -104,6 +103,7 @@
         pb.tries.add(new SetupTry(pb, host, 0, now));
         host.carried.add(pb.lastTry());
         begin(pb);
+        pb.rungSince -= STEP_UP_AFTER / 2; // Low rungs handed over on empty links need not wait in full.
         host.tally(now, settings.joinShare);
     }
 
@@ -469,8 +469,7 @@
     }
 
     private int highest(Playback pb) {
-        int most = Math.min(pb.ceiling, settings.ladder.length - 1);
-        return Math.max(pb.plan.floor, Math.min(most, pb.plan.top));
+        return Math.max(pb.plan.floor, Math.min(Math.min(pb.ceiling, pb.plan.top), pb.plan.rates.length - 1));
     }
 
     private int fairRung(Playback pb) {
