Steps of the worst-served plan count more, by the goal's told weight

Cause: rungs went by revenue for rate alone, which left one plan far behind while the goal counts the worst-served one. A found uplink now holds 30 s flat. Should also help a plan crowded out by a trouble. Harm: changes of the worst plan cost some steps.

--- a/src/main/java/cypressvalve/Control.java
+++ b/src/main/java/cypressvalve/Control.java
@@ -30,14 +30,15 @@
     private boolean mustFollow;
     private long movedAt = Long.MIN_VALUE / 2;
     private double price;
+    private Plan worst;
     private double linkScale;
     private long priceAt = Long.MIN_VALUE;
 
     private final List<BooleanSupplier> rules = List.of(
         rule(() -> mustFollow ? now : null, this::follow),
         rule(() -> now >= wakeAt ? now : null, this::wake),
-        rule(this::outOfTime, this::answer),
-        rule(this::unplaced, this::place),
+        rule(() -> first(open, pb -> now >= giveUpAt(pb)), this::answer),
+        rule(() -> first(open, pb -> !pb.onHost() && now >= pb.waitUntil), this::place),
         rule(this::overfull, group -> step(group, -1)),
         rule(this::stranded, this::move),
         rule(this::underused, group -> step(group, rungsUp(group))),
@@ -57,6 +58,7 @@
     public void at(long time) {
         now = time;
         priceAt = Long.MIN_VALUE;
+        worst = settings.plans.stream().min(Comparator.comparingDouble(this::served)).orElse(null);
     }
 
     public void settle() {
@@ -152,7 +154,8 @@
         List<MediaHost> used = host.rack.hosts.stream().filter(h -> !h.carried.isEmpty()).toList();
         long shortOnes = used.stream().filter(h -> shortLoad(h) > 0).count();
         if (shortOnes > 1 && shortOnes * 3 >= used.size() * 2 && linkLoad(host) < 1 && settings.uplink > 0) {
-            host.rack.found.add(now, Math.min(1, rackAsked(host.rack) / settings.uplink * share));
+            double given = rackAsked(host.rack) / settings.uplink * share;
+            host.rack.found.add(now, Math.max(0.1, Math.min(1, given)));
         }
     }
 
@@ -253,10 +256,6 @@
         return Math.min(pb.arrivedAt + pb.plan.startupTarget, pb.abandonAt - MARGIN);
     }
 
-    private Playback outOfTime() {
-        return first(open, pb -> now >= giveUpAt(pb));
-    }
-
     /** The final answer: a rejection where the plan allows the viewer to come again, else a failure. */
     private void answer(Playback pb) {
         SetupTry ran = mayHaveRun(pb);
@@ -287,12 +286,10 @@
 
     /** Rule 6: further tries within their budget. */
     private boolean withinBudget(Playback pb) {
-        if (pb.tries.isEmpty() || settings.extraFloor < 0) {
-            return true;
-        }
         int sent = further.since(now - settings.extraWindow);
         int asked = taken.since(Math.max(startedAt, now - settings.extraWindow));
-        return sent < 256 && sent + 1 <= settings.extraFloor + settings.extraPerPlayback * asked;
+        return pb.tries.isEmpty() || settings.extraFloor < 0
+            || sent < 256 && sent + 1 <= settings.extraFloor + settings.extraPerPlayback * asked;
     }
 
     /** Rule 5: seats, counted from the set-up to its end. */
@@ -394,16 +391,14 @@
             .mapToDouble(h -> linkLoad(h) * h.link).sum();
     }
 
-    /** A weak uplink stays weak for long: what was found of it fades over the life of some playbacks. */
-    private static final long FOUND_LIFE = 60_000_000_000L;
+    /** A weak uplink stays weak for long: what was found of it holds for about the life of a playback. */
+    private static final long FOUND_LIFE = 30_000_000_000L;
 
     private double rackLoad(Rack rack) {
         if (settings.uplink <= 0) {
             return 0;
         }
-        double trust = rack.found.since(now - FOUND_LIFE) == 0 ? 0
-            : 1 - (double) (now - rack.found.time(0)) / FOUND_LIFE;
-        double given = settings.uplink * Math.max(0.1, 1 - trust + trust * rack.found.newest());
+        double given = settings.uplink * (rack.found.since(now - FOUND_LIFE) == 0 ? 1 : rack.found.newest());
         return told(rack.load, rack.own, settings.uplink, rackAsked(rack) / given);
     }
 
@@ -426,13 +421,21 @@
 
     // What a step of rung is worth, and the price at which the fleet would be full.
 
+    /** Part of their revenue that a plan's playing ones earn now. */
+    private double served(Plan plan) {
+        List<Playback> of = playing.stream().filter(pb -> pb.plan == plan).toList();
+        double most = of.stream().mapToDouble(pb -> settings.rungRevenue[highest(pb)]).sum();
+        return most <= 0 ? 1 : of.stream().mapToDouble(pb -> settings.rungRevenue[pb.rung]).sum() / most;
+    }
+
     /** Revenue a second per kB of the step up to that rung, joined viewers counted together. */
     private double stepValue(Playback pb, int rung) {
         long joined = !pb.plan.live ? 1 : Math.max(1, playing.stream()
             .filter(o -> o.title == pb.title && o.plan == pb.plan).count());
         double share = (1 + settings.joinShare * (joined - 1)) / joined;
         double kb = (pb.plan.rates[rung] - pb.plan.rates[rung - 1]) * share;
-        double revenue = pb.plan.revenue * (pb.overShare ? settings.overShareRevenue : 1);
+        double revenue = pb.plan.revenue * (pb.overShare ? settings.overShareRevenue : 1)
+            * (pb.plan == worst ? 1 + settings.worstPlanWeight * settings.plans.size() : 1);
         return revenue * (settings.rungRevenue[rung] - settings.rungRevenue[rung - 1]) / Math.max(kb, 1e-9);
     }
 
@@ -482,10 +485,6 @@
 
     // The ordinary path.
 
-    private Playback unplaced() {
-        return first(open, pb -> !pb.onHost() && now >= pb.waitUntil);
-    }
-
     /** Holders that may be sent this playback, home first: own zone, then a hash that all gateways share. */
     private List<MediaHost> holders(Playback pb) {
         return hosts.values().stream().filter(h -> h.state == MediaHost.State.ACTIVE
@@ -517,7 +516,8 @@
             pb.waitUntil = now + BEAT;
         } else if (host == null) {
             answer(pb);
-        } else if (wantsProbe(pb, host)) {
+        } else if (settings.mayProbe && settings.reportsOnProbe && !pb.probed && !host.probeOut
+            && host.load.since(now - PROBE_AGE) == 0 && now - host.probedAt > PROBE_AGE) {
             pb.probed = host.probeOut = true;
             pb.waitUntil = now + PROBE_WAIT;
             host.probedAt = now;
@@ -532,11 +532,6 @@
     /** Probes are priced: none where a report is younger than this. */
     private static final long PROBE_AGE = 3_000_000_000L;
 
-    private boolean wantsProbe(Playback pb, MediaHost host) {
-        return settings.mayProbe && settings.reportsOnProbe && !pb.probed && !host.probeOut
-            && host.load.since(now - PROBE_AGE) == 0 && now - host.probedAt > PROBE_AGE;
-    }
-
     private MediaHost choose(Playback pb, List<MediaHost> well, int top) {
         MediaHost home = well.get(0);
         boolean homeHasRoom = room(home, added(pb, home, top), T_HIGH);
--- a/src/main/java/cypressvalve/adapter/SettingsReader.java
+++ b/src/main/java/cypressvalve/adapter/SettingsReader.java
@@ -42,6 +42,7 @@
         s.longestComeBack = time(limits, "maxRetryAfterNs");
         s.mostTries = (int) number(limits, "mostTries", Integer.MAX_VALUE);
         JsonNode prices = all.path("prices");
+        s.worstPlanWeight = number(all.path("blend"), "worstClass", 0);
         s.movePrice = number(prices, "moves", 0);
         s.probePrice = number(prices, "probe", 0);
         s.zonePrice = number(prices, "crossZone", 0);
--- a/src/main/java/cypressvalve/model/Settings.java
+++ b/src/main/java/cypressvalve/model/Settings.java
@@ -43,6 +43,8 @@
     public long longestComeBack;
     public int mostTries = Integer.MAX_VALUE;
     public boolean listOnRequest;
+    /** What the worst served plan counts for in the deployment's goal. */
+    public double worstPlanWeight;
     public double movePrice;
     public double probePrice;
     public double zonePrice;
--- a/src/test/java/cypressvalve/Stage.java
+++ b/src/test/java/cypressvalve/Stage.java
@@ -102,6 +102,7 @@
         settings.listOnRequest = f.containsKey("ask");
         settings.uplink = whole(f, "uplink", 0);
         settings.fleet = whole(f, "fleet", 0);
+        settings.worstPlanWeight = Double.parseDouble(f.getOrDefault("worst", "0"));
         settings.extraFloor = whole(f, "extra", -1);
         settings.extraPerPlayback = Double.parseDouble(f.getOrDefault("share", "0"));
         settings.extraWindow = whole(f, "over", 0) * MS;
