--- a/src/main/java/cypressvalve/Control.java
+++ b/src/main/java/cypressvalve/Control.java
@@ -725,7 +725,8 @@
         MediaHost host = pb.lastTry().host;
         int most = Math.min(fairRung(pb), group.stream().mapToInt(this::highest).min().orElse(0));
         int rung = pb.rung;
-        double kb = 0;
+        // Those that stay behind keep their stream: its sharing is lost.
+        double kb = group(pb).size() > group.size() ? pb.plan.rates[rung] * (1 - settings.joinShare) : 0;
         double mark = guessed(host.rack) ? T_LOW : STEP_UP_TO;
         while (rung < most && room(host, kb + stepKb(group, rung + 1), mark)) {
             kb += stepKb(group, ++rung);
--- a/src/main/java/cypressvalve/adapter/Instance.java
+++ b/src/main/java/cypressvalve/adapter/Instance.java
@@ -160,12 +160,10 @@
         title.copies = (int) line.real("span", settings.cells);
         playback.title = title;
         playback.tenant = settings.tenants.getOrDefault(line.text("tenant", ""), -1);
-        playback.viewer = line.text("routeKey", "");
         playback.ceiling = (int) line.real("ceilingRung", settings.ladder.length - 1);
         playback.arrivedAt = now;
         playback.abandonAt = now + line.whole("ttlNs", Long.MAX_VALUE / 4);
         playback.hint = line.whole("hintNs", 0);
-        playback.returning = line.flag("again") || line.flag("againByClient");
         playback.moved = line.flag("relocated");
         playbacks.put(playback.id, playback);
         return playback;
--- a/src/main/java/cypressvalve/adapter/SettingsReader.java
+++ b/src/main/java/cypressvalve/adapter/SettingsReader.java
@@ -29,25 +29,18 @@
         s.gateways = (int) Math.max(1, number(all, "instances", 1));
         s.zone = all.path("locality").asText("");
         s.overShareRevenue = number(all, "overShareWorth", 1);
-        s.tick = time(all, "tickNs");
         s.listOnRequest = all.path("registryMode").asText("").equals("on_request");
         family(all, s);
         plans(all, s);
         tenants(all.path("tenants"), s);
         JsonNode limits = all.path("limits");
         s.mayProbe = limits.path("probes").asBoolean(false);
-        s.mayTell = limits.path("peers").asBoolean(false);
         s.mayWithdraw = limits.path("cancelling").asBoolean(false);
         s.mayNameComeBack = limits.path("retryAfter").asBoolean(false);
         s.longestComeBack = time(limits, "maxRetryAfterNs");
         s.mostTries = (int) number(limits, "mostTries", Integer.MAX_VALUE);
-        JsonNode prices = all.path("prices");
         s.worstPlanWeight = number(all.path("blend"), "worstClass", 0);
-        s.movePrice = number(prices, "moves", 0);
-        s.probePrice = number(prices, "probe", 0);
-        s.zonePrice = number(prices, "crossZone", 0);
         JsonNode rules = all.path("rules");
-        s.drainGrace = time(rules, "drainGraceNs");
         s.coldTime = time(rules, "coldNs");
         s.coldShare = number(rules, "coldShare", 1);
         s.fallMultiple = number(rules, "overloadFactor", Double.POSITIVE_INFINITY);
@@ -55,11 +48,7 @@
         s.extraFloor = number(rules, "extraFloor", rules.has("extraPerRequest") ? 0 : -1);
         s.extraPerPlayback = number(rules, "extraPerRequest", 0);
         s.extraWindow = time(rules, "countedOverNs");
-        s.listAskWithin = time(rules, "askWithinNs");
-        JsonNode stats = all.path("stats");
-        s.reportsInAnswers = stats.path("via").asText("").equals("inline");
-        s.reportsOnProbe = stats.path("via").asText("").equals("on_probe");
-        stats.path("fields").forEach(f -> s.reportFields.add(f.asText()));
+        s.reportsOnProbe = all.path("stats").path("via").asText("").equals("on_probe");
         return s;
     }
 
@@ -110,13 +99,13 @@
         s.fleet = number(family, "fleetKb", 0);
         s.uplink = number(family, "uplinkKb", 0);
         s.joinShare = number(family, "sharedAdds", 1);
-        s.fullFrom = number(family, "fullFrom", 0);
-        s.shortLoss = number(family, "stall", 0);
-        s.stepSeconds = number(family, "switchS", 0);
         s.noteDelay = time(family, "seenAfterNs");
         s.notePeriod = time(family, "tellNs");
         s.ladder = numbers(family, "ladderKb");
         s.rungRevenue = numbers(family, "levelWorth");
+        if (s.rungRevenue.length < s.ladder.length) {
+            throw new BadInput("BEGIN: setting levelWorth is shorter than ladderKb");
+        }
         JsonNode kinds = all.path("shapes");
         for (int i = 0; i < kinds.size(); i++) {
             s.places.put(kinds.get(i).asText(), item(family, "placesByKind", i, 0));
--- a/src/main/java/cypressvalve/model/Playback.java
+++ b/src/main/java/cypressvalve/model/Playback.java
@@ -10,13 +10,11 @@
     public Plan plan;
     /** Number of its tenant, below 0 if it has none. */
     public int tenant = -1;
-    public String viewer = "";
     public int ceiling;
     public long arrivedAt;
     public long abandonAt;
     /** A rough guess of its length, 0 if none is given. */
     public long hint;
-    public boolean returning;
     public boolean moved;
 
     public final List<SetupTry> tries = new ArrayList<>();
--- a/src/main/java/cypressvalve/model/Settings.java
+++ b/src/main/java/cypressvalve/model/Settings.java
@@ -27,17 +27,10 @@
     public double uplink;
     /** What a further viewer adds to a shared stream, as a part of the rate. */
     public double joinShare = 1;
-    public double fullFrom;
-    public double stepSeconds;
-    /** Points of revenue lost for each point of the rate that does not arrive. */
-    public double shortLoss;
     public long noteDelay;
     public long notePeriod;
-    public boolean reportsInAnswers;
     public boolean reportsOnProbe;
-    public List<String> reportFields = new ArrayList<>();
     public boolean mayProbe;
-    public boolean mayTell;
     public boolean mayWithdraw;
     public boolean mayNameComeBack;
     public long longestComeBack;
@@ -45,10 +38,6 @@
     public boolean listOnRequest;
     /** What the worst served plan counts for in the deployment's goal. */
     public double worstPlanWeight;
-    public double movePrice;
-    public double probePrice;
-    public double zonePrice;
-    public long drainGrace;
     public long coldTime;
     public double coldShare = 1;
     public double fallMultiple = Double.POSITIVE_INFINITY;
@@ -57,6 +46,4 @@
     public double extraFloor = -1;
     public double extraPerPlayback;
     public long extraWindow;
-    public long listAskWithin;
-    public long tick;
 }
--- a/src/test/java/cypressvalve/Stage.java
+++ b/src/test/java/cypressvalve/Stage.java
@@ -32,7 +32,6 @@
         settings.fallTime = 1000 * MS;
         settings.fallMultiple = 3;
         settings.joinShare = 0.3;
-        settings.stepSeconds = 0.5;
     }
 
     void play(String line) {
