--- a/src/main/java/cypressvalve/Control.java
+++ b/src/main/java/cypressvalve/Control.java
@@ -7,9 +7,9 @@
 import java.util.stream.IntStream;
 
 /**
- * Every decision of one gateway. The caller tells what happens through the public methods, each with the
- * time in nanoseconds; after each the rules below are gone through in order until none fires. Control acts
- * through the interface Gateway (Gateway.java) alone and keeps its state in the plain objects of
+ * Every decision of one gateway. The caller gives the time by at(), tells what happened through one of the
+ * public methods, then calls settle(): the rules below are gone through in order until none fires. Control
+ * acts through the interface Gateway (Gateway.java) alone and keeps its state in the plain objects of
  * cypressvalve.model. The ordinary path is the design page's (docs/design.md); each departure says so.
  */
 public final class Control {
@@ -160,8 +160,8 @@
     }
 
     public void rungTold(SetupTry setupTry, int rung) {
-        setupTry.playback.rung = rung;
-        setupTry.playback.rungTold = rung;
+        int known = Math.max(0, Math.min(rung, setupTry.playback.plan.rates.length - 1));
+        setupTry.playback.rung = setupTry.playback.rungTold = known;
         setupTry.host.tally(now, settings.joinShare);
     }
 
