The adapter lets go of playbacks where they end; unread state dropped

It went through every playback after each event; now only the one that ended is looked at. Gateway's note named a call that is gone; Samples.clear and Plan.number were read by nobody.

--- a/src/main/java/cypressvalve/Gateway.java
+++ b/src/main/java/cypressvalve/Gateway.java
@@ -27,7 +27,7 @@
     /** Gives back idle connections. */
     void release(MediaHost host);
 
-    /** Asks for a call of Control.bell at that time. */
+    /** Asks for a call of Control.at and settle at that time. */
     void wakeAt(long time);
 
     /** Sends bytes to the gateway of that number, or to all others if it is below 0. */
--- a/src/main/java/cypressvalve/adapter/Instance.java
+++ b/src/main/java/cypressvalve/adapter/Instance.java
@@ -43,7 +43,6 @@
             control.at(now);
             decode(line, bank);
             control.settle();
-            playbacks.values().removeIf(p -> p.answered && !p.onHost());
         } catch (BadInput e) {
             throw e;
         } catch (RuntimeException e) {
@@ -65,10 +64,7 @@
     private void decode(Line line, List<Line> bank) {
         switch (line.name) {
             case "ROSTER_CHANGE" -> roster(line, bank);
-            case "DEMAND" -> {
-                Playback playback = playback(line);
-                control.requested(playback);
-            }
+            case "DEMAND" -> control.requested(playback(line));
             case "HANDOVER" -> {
                 Playback playback = playback(line);
                 MediaHost host = hosts.get(line.whole("host"));
@@ -89,6 +85,7 @@
                 Playback playback = playbacks.get(line.text("opId"));
                 if (playback != null) {
                     control.over(playback);
+                    forget(playback);
                 }
             }
             case "BELL" -> line.whole("keyBack");
@@ -177,6 +174,7 @@
         SetupTry setupTry = setupTry(line);
         if (setupTry != null) {
             control.cameBack(setupTry, verdict, finished, link, uplink);
+            forget(setupTry.playback);
         }
     }
 
@@ -203,6 +201,13 @@
         return playback == null || leg < 0 || leg >= playback.tries.size() ? null : playback.tries.get(leg);
     }
 
+    /** Lets go of a playback that is answered and has nothing at a media host any more. */
+    private void forget(Playback playback) {
+        if (playback.answered && !playback.onHost()) {
+            playbacks.remove(playback.id);
+        }
+    }
+
     private static double link(Line line) {
         double asked = line.pair("stats", "x0");
         return Double.isNaN(asked) ? line.pair("stats", "util") : asked;
@@ -240,11 +245,13 @@
             out.append(" backoffNs=").append(comeBackIn);
         }
         out.append('\n');
+        forget(playback);
     }
 
     @Override
     public void fail(Playback playback) {
         out.append("DROP_REQUEST opId=").append(playback.id).append('\n');
+        forget(playback);
     }
 
     @Override
--- a/src/main/java/cypressvalve/adapter/SettingsReader.java
+++ b/src/main/java/cypressvalve/adapter/SettingsReader.java
@@ -58,7 +58,6 @@
         for (int i = 0; i < services.size(); i++) {
             JsonNode row = services.get(i);
             Plan plan = new Plan();
-            plan.number = i;
             plan.effect = switch (row.path("effect").asText("")) {
                 case "once" -> Plan.Effect.ONCE;
                 case "by_key" -> Plan.Effect.BY_KEY;
--- a/src/main/java/cypressvalve/model/Plan.java
+++ b/src/main/java/cypressvalve/model/Plan.java
@@ -8,7 +8,6 @@
     /** How far a second set-up of a BY_KEY plan may go from the first. */
     public enum Scope { ALL, ZONE, CELL }
 
-    public int number;
     public Effect effect = Effect.REPEATABLE;
     public Scope scope = Scope.ALL;
     public long keyWindow;
--- a/src/main/java/cypressvalve/model/Samples.java
+++ b/src/main/java/cypressvalve/model/Samples.java
@@ -59,8 +59,4 @@
         }
         return size() == 0 ? 0 : value(size() - 1);
     }
-
-    public void clear() {
-        count = 0;
-    }
 }
--- a/src/test/java/cypressvalve/Stage.java
+++ b/src/test/java/cypressvalve/Stage.java
@@ -109,7 +109,6 @@
 
     private Plan plan(Map<String, String> f) {
         Plan plan = new Plan();
-        plan.number = settings.plans.size();
         plan.effect = Plan.Effect.valueOf(f.getOrDefault("effect", "REPEATABLE"));
         plan.scope = Plan.Scope.valueOf(f.getOrDefault("scope", "ALL"));
         plan.keyWindow = whole(f, "window", 5000) * MS;
