--- a/src/main/java/cypressvalve/Control.java
+++ b/src/main/java/cypressvalve/Control.java
@@ -20,29 +20,29 @@
     private final TreeMap<Integer, Rack> racks = new TreeMap<>();
     private final List<Playback> open = new ArrayList<>();
     private final List<Playback> playing = new ArrayList<>();
+    private final ArrayDeque<Playback> latest = new ArrayDeque<>();
     private final Samples taken = new Samples(1024);
     private final Samples further = new Samples(256);
-    private final List<Samples> arrivals = new ArrayList<>();
+    private int lists;
     private long now;
     private long startedAt;
     private boolean beganWithDay;
     private long wakeAt = Long.MIN_VALUE;
     private boolean mustFollow;
-    private long movedAt = Long.MIN_VALUE / 2;
     private double price;
-    private Plan worst;
     private double linkScale;
-    private long priceAt = Long.MIN_VALUE;
+    private long priceAt = Long.MIN_VALUE / 2;
+    private double usual;
+    private long usualAt = Long.MIN_VALUE;
 
     private final List<BooleanSupplier> rules = List.of(
         rule(() -> mustFollow ? now : null, this::follow),
-        rule(() -> now >= wakeAt ? now : null, this::wake),
         rule(() -> first(open, pb -> now >= giveUpAt(pb)), this::answer),
         rule(() -> first(open, pb -> !pb.onHost() && now >= pb.waitUntil), this::place),
         rule(this::overfull, group -> step(group, -1)),
-        rule(this::stranded, this::move),
         rule(this::underused, group -> step(group, rungsUp(group))),
-        rule(this::untold, this::tellRung));
+        rule(this::untold, this::tellRung),
+        rule(() -> nextLook() < (wakeAt > now ? wakeAt : Long.MAX_VALUE) ? nextLook() : null, this::wake));
 
     public Control(Settings settings, long seed, long time, Gateway gateway) {
         this.settings = settings;
@@ -50,25 +50,23 @@
         this.now = this.startedAt = time;
         mustFollow = settings.listOnRequest;
         chance = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
-        settings.tenants.keySet().forEach(t -> arrivals.add(new Samples(64)));
     }
 
     // What happens: at() before each input, then the input, then settle().
 
     public void at(long time) {
         now = time;
-        priceAt = Long.MIN_VALUE;
-        worst = settings.plans.stream().min(Comparator.comparingDouble(this::served)).orElse(null);
+        usualAt = Long.MIN_VALUE;
     }
 
     public void settle() {
-        while (rules.stream().anyMatch(BooleanSupplier::getAsBoolean)) {
-            priceAt = Long.MIN_VALUE;
-        }
+        while (rules.stream().anyMatch(BooleanSupplier::getAsBoolean)) { }
     }
 
     public void listed(List<MediaHost> named, boolean whole) {
-        hosts.values().stream().filter(h -> whole && !named.contains(h))
+        lists++;
+        Set<MediaHost> kept = new HashSet<>(named);
+        hosts.values().stream().filter(h -> whole && !kept.contains(h))
             .forEach(h -> h.state = MediaHost.State.GONE);
         if (linkScale <= 0 && !named.isEmpty()) {
             // Told sizes are rough one by one; their mean is known, from all links and the number of cells.
@@ -89,13 +87,6 @@
     public void requested(Playback pb) {
         taken.add(now, 1);
         pb.rung = pb.rungTold = pb.plan.floor;
-        if (pb.tenant >= 0) {
-            Samples asked = arrivals.get(pb.tenant);
-            asked.add(now, 1);
-            double rate = asked.since(now - REPORT_LIFE) * 1e9 / REPORT_LIFE * settings.gateways;
-            pb.overShare = settings.allowance[pb.tenant] > 0 && now - startedAt > REPORT_LIFE
-                && rate > settings.allowance[pb.tenant];
-        }
         open.add(pb);
     }
 
@@ -130,6 +121,10 @@
             // Reports in answers are noisy and late: taken only where no note has come of late.
             takeReport(host, link, uplink, now - REPORT_AGE);
         }
+        if (verdict == Verdict.FULL && settings.fullFrom > 0) {
+            // Turned away: a report that costs nothing, from a host that may not have been heard of for long.
+            takeReport(host, settings.fullFrom, Double.NaN, now);
+        }
         blame(host, verdict, BLAMED.contains(verdict) && (!wasPlaying || verdict == Verdict.BROKEN));
         playing.remove(setupTry.playback);
         if (finished || wasPlaying) {
@@ -148,12 +143,12 @@
 
     public void delivered(SetupTry setupTry, double share) {
         MediaHost host = setupTry.host;
-        host.draw = chance.nextDouble();
+        redraw(host.draw);
         host.asked.add(now - settings.noteDelay - SMOOTHED, 1 / Math.max(share, 0.05));
         // An uplink is short for all behind it: a few weak links in a rack say nothing of it.
         List<MediaHost> used = host.rack.hosts.stream().filter(h -> !h.carried.isEmpty()).toList();
         long shortOnes = used.stream().filter(h -> shortLoad(h) > 0).count();
-        if (shortOnes > 1 && shortOnes * 3 >= used.size() * 2 && linkLoad(host) < 1 && settings.uplink > 0) {
+        if (shortOnes > 1 && shortOnes * 3 >= used.size() * 2 && linkLoad(host) < 1) {
             double given = rackAsked(host.rack) / settings.uplink * share;
             host.rack.found.add(now, Math.max(0.1, Math.min(1, given)));
         }
@@ -180,11 +175,10 @@
     private static <T> BooleanSupplier rule(Supplier<T> condition, Consumer<T> effect) {
         return () -> {
             T subject = condition.get();
-            if (subject == null) {
-                return false;
+            if (subject != null) {
+                effect.accept(subject);
             }
-            effect.accept(subject);
-            return true;
+            return subject != null;
         };
     }
 
@@ -194,12 +188,21 @@
         gateway.followList(true);
     }
 
-    /** How often waiting playbacks and loads are looked at again: well under any startup target. */
+    /** How often a playback that waits for its turn is looked at again: well under any startup target. */
     private static final long BEAT = 50_000_000;
+    /** How often playing ones are, besides at every word of them: a part of what a step takes to show. */
+    private static final long SLOW_BEAT = 500_000_000;
+
+    /** When something may be due without a word from outside; a gateway that holds nothing is left alone. */
+    private long nextLook() {
+        return Math.min(playing.isEmpty() ? Long.MAX_VALUE : now + SLOW_BEAT, open.stream()
+            .mapToLong(pb -> Math.min(giveUpAt(pb), pb.onHost() ? Long.MAX_VALUE : pb.waitUntil))
+            .min().orElse(Long.MAX_VALUE));
+    }
 
     private void wake(long at) {
-        wakeAt = at + BEAT;
-        gateway.wakeAt(wakeAt);
+        wakeAt = at;
+        gateway.wakeAt(at);
     }
 
     // Rule 4: a media host that may be cold takes a few set-ups at a time, gateways taking turns.
@@ -214,9 +217,9 @@
     private static final double COLD_PART = 0.6;
 
     /**
-     * Time is cut into slots that belong to one gateway each, by number. Any window meets two slots at most,
-     * so each gets half of what the window may hold at the lowest warmth; where that is under one, only a
-     * slot's first half is used. A gateway that is only unsure of the start spaces its set-ups instead.
+     * Time is cut into slots that belong to one gateway each, by number, of which the first half is used: any
+     * window meets one such half and so what it may hold at the lowest warmth, however many gateways there
+     * are. A gateway that is only unsure of the start spaces its set-ups instead.
      */
     private boolean paceAllows(MediaHost host) {
         double window = settings.fallMultiple * host.places * settings.coldShare * COLD_PART
@@ -226,15 +229,10 @@
             return beganWithDay || now >= startedAt + settings.coldTime || host.sent.size() == 0
                 || now - host.sent.time(0) >= settings.fallTime * settings.gateways / window;
         }
-        boolean halves = window < 2;
-        long slot = Math.max(1, settings.fallTime) * (halves ? 2 : 1);
+        long slot = 2 * Math.max(1, settings.fallTime);
         long begin = now - Math.floorMod(now, slot);
-        return myTurn(slot) && (!halves || now - begin < slot / 2)
-            && host.sent.since(begin) < Math.max(1, (int) (window / 2));
-    }
-
-    private boolean myTurn(long slot) {
-        return Math.floorMod(now / slot, settings.gateways) == settings.me;
+        return Math.floorMod(now / slot, settings.gateways) == settings.me && now - begin < slot / 2
+            && host.sent.since(begin) < Math.max(1, (int) window);
     }
 
     // Rules 1 and 2: one answer, in time; nothing set up twice that must not be.
@@ -294,9 +292,8 @@
 
     /** Rule 5: seats, counted from the set-up to its end. */
     private boolean seatFree(Playback pb) {
-        long held = hosts.values().stream().flatMap(h -> h.carried.stream())
-            .filter(t -> t.playback.plan == pb.plan && t.playback.title == pb.title).count();
-        return pb.plan.seats <= 0 || held < pb.plan.seats;
+        return pb.plan.seats <= 0 || hosts.values().stream().flatMap(h -> h.carried.stream())
+            .filter(t -> t.playback.plan == pb.plan && t.playback.title == pb.title).count() < pb.plan.seats;
     }
 
     // Health: a share of failures well over the fleet's median, and for how long it is passed over.
@@ -346,31 +343,56 @@
     private void takeReport(MediaHost host, double link, double uplink, long at) {
         if (!Double.isNaN(link)) {
             host.load.add(at, link);
-            host.draw = chance.nextDouble();
+            redraw(host.draw);
         }
         if (!Double.isNaN(uplink)) {
             host.rack.load.add(at, uplink);
-            host.rack.draw = chance.nextDouble();
+            redraw(host.rack.draw);
+        }
+    }
+
+    /** Not before what came of the last draw shows in reports: else the same excess is eased off again. */
+    private void redraw(Samples draw) {
+        if (draw.since(now - settings.noteDelay - SMOOTHED) == 0) {
+            draw.add(now, chance.nextDouble());
         }
     }
 
-    /** Mean of the last reports brought up to now; the guess takes over as they age. */
+    private boolean known(Samples load) {
+        return load.since(now - REPORT_LIFE) > 0;
+    }
+
+    /** The last report brought up to now by our own changes; the guess takes over as it ages. */
     private double told(Samples load, Samples own, double capacity, double guess) {
-        double sum = 0;
-        double weights = 0;
-        for (int i = 0; i < load.since(now - REPORT_LIFE); i++) {
-            double weight = 1 - (double) (now - load.time(i)) / REPORT_LIFE;
-            sum += weight * (load.value(i) + (own.newest() - own.at(load.time(i))) / capacity);
-            weights += weight;
+        if (!known(load)) {
+            return guess;
         }
-        double trust = weights <= 0 ? 0 : 1 - (double) (now - load.time(0)) / REPORT_LIFE;
-        return Math.max(0, trust * sum / Math.max(weights, 1e-9) + (1 - trust) * guess);
+        double trust = 1 - (double) (now - load.time(0)) / REPORT_LIFE;
+        double brought = load.value(0) + (own.newest() - own.at(load.time(0))) / capacity;
+        return Math.max(0, trust * brought + (1 - trust) * guess);
     }
 
-    /** Link use without reports: own playbacks, and as much again on average for each other gateway. */
+    /** Least use that a host counts with in the mean: one empty host says little of the others. */
+    private static final double LEAST_USE = 0.1;
+    /** So many told hosts count as much as the estimate from our own use: both are off by a half. */
+    private static final double OWN_COUNTS = 4;
+
+    /**
+     * Link use without reports: own playbacks, and the other gateways' part of the fleet's mean. That is of
+     * what was told of late and of our own use times the gateways; harmonic, as hosts are told of in answers
+     * and probes about as often as they are used. It holds however few hosts one of many gateways meets.
+     */
     private double guess(MediaHost host) {
-        double all = racks.values().stream().mapToDouble(r -> r.own.newest()).sum();
-        return (host.own.newest() + (settings.gateways - 1) * all / hosts.size()) / host.link;
+        if (usualAt != now) {
+            usualAt = now;
+            double own = hosts.values().stream().mapToDouble(h -> h.own.newest()).sum() * settings.gateways
+                / hosts.values().stream().mapToDouble(h -> h.link).sum();
+            double[] told = hosts.values().stream().filter(h -> known(h.load))
+                .mapToDouble(h -> 1 / Math.max(LEAST_USE, h.load.value(0))).toArray();
+            usual = (OWN_COUNTS + told.length)
+                / (OWN_COUNTS / Math.max(LEAST_USE, own) + Arrays.stream(told).sum());
+        }
+        return host.own.newest() / host.link + usual * (settings.gateways - 1) / settings.gateways;
     }
 
     private double linkLoad(MediaHost host) {
@@ -386,24 +408,24 @@
         return Math.max(linkLoad(host), shortLoad(host));
     }
 
+    /** What its links ask of the uplink; those that nobody tells of are not taken to fill it past T_l. */
     private double rackAsked(Rack rack) {
+        double links = rack.hosts.stream().mapToDouble(h -> h.link).sum();
         return rack.hosts.stream().filter(h -> h.state != MediaHost.State.GONE)
-            .mapToDouble(h -> linkLoad(h) * h.link).sum();
+            .mapToDouble(h -> h.link * Math.min(linkLoad(h), known(h.load)
+            ? Double.MAX_VALUE : T_LOW * settings.uplink / links)).sum();
     }
 
     /** A weak uplink stays weak for long: what was found of it holds for about the life of a playback. */
     private static final long FOUND_LIFE = 30_000_000_000L;
 
     private double rackLoad(Rack rack) {
-        if (settings.uplink <= 0) {
-            return 0;
-        }
         double given = settings.uplink * (rack.found.since(now - FOUND_LIFE) == 0 ? 1 : rack.found.newest());
         return told(rack.load, rack.own, settings.uplink, rackAsked(rack) / given);
     }
 
     private boolean guessed(Rack rack) {
-        return settings.uplink > 0 && rack.load.since(now - REPORT_LIFE) == 0;
+        return Double.isFinite(settings.uplink) && !known(rack.load);
     }
 
     private double added(Playback pb, MediaHost host, int rung) {
@@ -415,17 +437,7 @@
 
     private boolean room(MediaHost host, double kb, double mark) {
         return load(host) + kb / host.link <= mark
-            && (settings.uplink <= 0 || rackLoad(host.rack) + kb / settings.uplink
-            <= mark + UPLINK_MORE);
-    }
-
-    // What a step of rung is worth, and the price at which the fleet would be full.
-
-    /** Part of their revenue that a plan's playing ones earn now. */
-    private double served(Plan plan) {
-        List<Playback> of = playing.stream().filter(pb -> pb.plan == plan).toList();
-        double most = of.stream().mapToDouble(pb -> settings.rungRevenue[highest(pb)]).sum();
-        return most <= 0 ? 1 : of.stream().mapToDouble(pb -> settings.rungRevenue[pb.rung]).sum() / most;
+            && rackLoad(host.rack) + kb / settings.uplink <= mark + UPLINK_MORE;
     }
 
     /** Revenue a second per kB of the step up to that rung, joined viewers counted together. */
@@ -434,14 +446,22 @@
             .filter(o -> o.title == pb.title && o.plan == pb.plan).count());
         double share = (1 + settings.joinShare * (joined - 1)) / joined;
         double kb = (pb.plan.rates[rung] - pb.plan.rates[rung - 1]) * share;
-        double revenue = pb.plan.revenue * (pb.overShare ? settings.overShareRevenue : 1)
-            * (pb.plan == worst ? 1 + settings.worstPlanWeight * settings.plans.size() : 1);
-        return revenue * (settings.rungRevenue[rung] - settings.rungRevenue[rung - 1]) / Math.max(kb, 1e-9);
+        double more = settings.rungRevenue[rung] - settings.rungRevenue[rung - 1];
+        return pb.plan.revenue * more / Math.max(kb, 1e-9);
     }
 
-    /** Departure: set-ups at the top rung would leave no room for the next. See docs/design.md, fair rung. */
+    /** So many playbacks of our own count for what one uses as much as the ladder's middle does. */
+    private static final double FEW = 10;
+    /** Playbacks, over or not, whose wishes stand for the fleet's: a few lives of a small gateway. */
+    private static final int LATEST = 64;
+
+    /**
+     * Departure: set-ups at the top rung would leave no room for the next (docs/design.md, fair rung). What a
+     * playback may use is the fleet's room for one: by what ours use now over the fleet's use, drawn to the
+     * ladder's middle the fewer we hold, as a handful that uses little would else stay low, and one high.
+     */
     private double price() {
-        if (priceAt == now) {
+        if (now - priceAt < BEAT) {
             return price;
         }
         priceAt = now;
@@ -449,25 +469,29 @@
         double links = up.stream().mapToDouble(h -> h.link).sum();
         double asked = up.stream().mapToDouble(h -> linkLoad(h) * h.link).sum();
         double own = up.stream().mapToDouble(h -> h.own.newest()).sum();
-        double uplinks = racks.values().stream()
-            .mapToDouble(r -> rackLoad(r) - UPLINK_MORE).average().orElse(0);
-        double allowed = own * T_HIGH / Math.max(Math.max(asked / Math.max(links, 1), uplinks), 1e-3);
+        double uplinks = racks.values().stream().mapToDouble(r -> guessed(r)
+            ? asked / racks.size() / settings.uplink : rackLoad(r)).average().orElse(0) - UPLINK_MORE;
+        double drawn = FEW / (playing.size() + FEW);
+        double middle = latest.stream().mapToDouble(pb -> (pb.plan.live ? settings.joinShare : 1)
+            * pb.plan.rates[Math.min(highest(pb), pb.plan.rates.length / 2)]).average().orElse(0);
+        double allowed = latest.size() * Math.pow(own / Math.max(playing.size(), 1), 1 - drawn)
+            * Math.pow(middle, drawn) * T_HIGH / Math.max(Math.max(asked / links, uplinks), 1e-3);
         List<double[]> steps = new ArrayList<>();
-        for (Playback pb : playing) {
-            double worst = Double.MAX_VALUE;
+        for (Playback pb : latest) {
+            double least = Double.MAX_VALUE;
             double share = pb.plan.live ? settings.joinShare : 1;
             allowed -= pb.plan.rates[pb.plan.floor] * share;
             for (int r = pb.plan.floor + 1; r <= highest(pb); r++) {
-                worst = Math.min(worst, stepValue(pb, r));
-                steps.add(new double[] {worst, (pb.plan.rates[r] - pb.plan.rates[r - 1]) * share});
+                least = Math.min(least, stepValue(pb, r));
+                steps.add(new double[] {least, (pb.plan.rates[r] - pb.plan.rates[r - 1]) * share});
             }
         }
         steps.sort(Comparator.comparingDouble(s -> -s[0]));
-        int n = 0;
-        while (n < steps.size() && allowed >= steps.get(n)[1]) {
-            allowed -= steps.get(n++)[1];
+        int i = 0;
+        while (i < steps.size() && allowed >= steps.get(i)[1]) {
+            allowed -= steps.get(i++)[1];
         }
-        price = n < steps.size() ? steps.get(n)[0] : 0;
+        price = i < steps.size() ? steps.get(i)[0] : 0;
         return price;
     }
 
@@ -476,21 +500,23 @@
     }
 
     private int fairRung(Playback pb) {
-        int rung = pb.plan.floor;
-        while (rung < highest(pb) && stepValue(pb, rung + 1) >= price()) {
-            rung++;
-        }
-        return rung;
+        return IntStream.rangeClosed(pb.plan.floor + 1, highest(pb))
+            .takeWhile(r -> stepValue(pb, r) >= price()).max().orElse(pb.plan.floor);
     }
 
     // The ordinary path.
 
     /** Holders that may be sent this playback, home first: own zone, then a hash that all gateways share. */
     private List<MediaHost> holders(Playback pb) {
-        return hosts.values().stream().filter(h -> h.state == MediaHost.State.ACTIVE
-            && Math.floorMod(h.cell - pb.title.first, settings.cells) < pb.title.copies)
-            .sorted(Comparator.comparing((MediaHost h) -> !h.zone.equals(settings.zone))
-            .thenComparingLong(h -> hash(pb.title.key, h.id))).toList();
+        Title title = pb.title;
+        if (title.listed != lists) {
+            title.listed = lists;
+            title.holders = hosts.values().stream().filter(h -> h.state == MediaHost.State.ACTIVE
+                && Math.floorMod(h.cell - title.first, settings.cells) < title.copies)
+                .sorted(Comparator.comparing((MediaHost h) -> !h.zone.equals(settings.zone))
+                .thenComparingLong(h -> hash(title.key, h.id))).toList();
+        }
+        return title.holders;
     }
 
     private static long hash(String key, long id) {
@@ -532,11 +558,28 @@
     /** Probes are priced: none where a report is younger than this. */
     private static final long PROBE_AGE = 3_000_000_000L;
 
+    /**
+     * Departure: where the home is not told of, a title that one link cannot carry has several, the next in
+     * the same order, and each gateway keeps to one by its own number: with many gateways all would send to
+     * the first long after it is full. Viewers that share streams stay together on as few as carry them.
+     */
+    private MediaHost home(Playback pb, List<MediaHost> well) {
+        MediaHost first = well.get(0);
+        if (known(first.load)) {
+            return first;
+        }
+        long near = well.stream().filter(h -> h.zone.equals(first.zone)).count();
+        long held = playing.stream().filter(o -> o.title == pb.title).count();
+        double links = pb.plan.live ? held * settings.gateways * settings.joinShare
+            * pb.plan.rates[highest(pb) / 2] / (T_HIGH * first.link) : near / 2;
+        int several = (int) Math.max(1, Math.min(near, links));
+        return well.get(Math.floorMod(hash(pb.title.key, settings.me), several));
+    }
+
     private MediaHost choose(Playback pb, List<MediaHost> well, int top) {
-        MediaHost home = well.get(0);
+        MediaHost home = home(pb, well);
         boolean homeHasRoom = room(home, added(pb, home, top), T_HIGH);
-        double l = load(home);
-        double p = l < T_LOW ? 0 : P_MAX * Math.min(1, (l - T_LOW) / (T_HIGH - T_LOW));
+        double p = P_MAX * Math.max(0, Math.min(1, (load(home) - T_LOW) / (T_HIGH - T_LOW)));
         if (joinRung(pb, home) >= 0 || homeHasRoom && chance.nextDouble() >= p) {
             return home;
         }
@@ -555,53 +598,23 @@
                 return home;
             }
         }
-        // Departure: nobody is turned away on a guess: a guessed uplink alone keeps no lowest rung out.
-        return well.stream().sorted(Comparator.comparingDouble(this::load)).filter(h -> makeRoom(pb, h)
-            || guessed(h.rack) && load(h) + added(pb, h, pb.plan.floor) / h.link <= T_HIGH)
+        // Departure: nobody is turned away on a guess: a guessed use alone keeps no lowest rung out.
+        return well.stream().sorted(Comparator.comparingDouble(this::load)).filter(h -> shortLoad(h) == 0
+            && (!known(h.load)
+            || guessed(h.rack) && load(h) + added(pb, h, pb.plan.floor) / h.link <= T_HIGH))
             .findFirst().orElse(null);
     }
 
-    /**
-     * Departure: before a viewer is turned away, playing ones of this gateway give up steps that are worth
-     * less for their rate. Acts on any lack of room; it could harm where the load told is far too high.
-     */
-    private boolean makeRoom(Playback pb, MediaHost host) {
-        double kb = added(pb, host, pb.plan.floor);
-        double value = pb.plan.revenue * settings.rungRevenue[pb.plan.floor] / kb;
-        boolean uplink = settings.uplink > 0 && rackLoad(host.rack) + kb / settings.uplink > T_HIGH;
-        List<Playback> yielding = playing.stream().filter(o -> o.rung > o.plan.floor && !o.moving
-            && (uplink ? o.lastTry().host.rack == host.rack : o.lastTry().host == host)
-            && stepValue(o, o.rung) < value)
-            .sorted(Comparator.comparingDouble(o -> stepValue(o, o.rung))).toList();
-        double gain = yielding.stream().mapToDouble(o -> (o.plan.rates[o.rung] - o.plan.rates[o.plan.floor])
-            * (o.plan.live ? settings.joinShare : 1)).sum();
-        double over = Math.max((load(host) - T_HIGH) * host.link + kb,
-            uplink ? (rackLoad(host.rack) - T_HIGH) * settings.uplink + kb : 0);
-        for (Playback o : yielding) {
-            if (gain >= over && o.rung > o.plan.floor && !room(host, kb, T_HIGH)) {
-                step(group(o), -1);
-            }
-        }
-        return room(host, kb, T_HIGH);
-    }
-
-    /** The highest rung at which the playback has room to share a stream there, or -1. */
+    /** The highest rung at which the playback has room to share a stream there, else below 0. */
     private int joinRung(Playback pb, MediaHost host) {
-        int rung = highest(pb);
-        while (rung >= pb.plan.floor
-            && !(host.joins(pb, rung) && room(host, added(pb, host, rung), T_HIGH))) {
-            rung--;
-        }
-        return rung >= pb.plan.floor ? rung : -1;
+        return IntStream.rangeClosed(pb.plan.floor, highest(pb)).filter(r -> host.joins(pb, r)
+            && room(host, added(pb, host, r), T_HIGH)).max().orElse(-1);
     }
 
     private int rungAt(Playback pb, MediaHost host, int top) {
-        int rung = top;
-        while (rung > pb.plan.floor && !room(host, added(pb, host, rung), T_HIGH)) {
-            rung--;
-        }
         int joinAt = joinRung(pb, host);
-        return joinAt >= 0 ? joinAt : rung;
+        return joinAt >= 0 ? joinAt : IntStream.rangeClosed(pb.plan.floor, top)
+            .filter(r -> room(host, added(pb, host, r), T_HIGH)).max().orElse(pb.plan.floor);
     }
 
     /** Part of the time left that a try gets while another may follow: one more fits after it. */
@@ -628,6 +641,10 @@
         pb.answered = pb.playing = true;
         pb.playingSince = pb.rungSince = now;
         playing.add(pb);
+        latest.add(pb);
+        if (latest.size() > LATEST) {
+            latest.poll();
+        }
     }
 
     /** The playback is over, or its viewer left. */
@@ -640,6 +657,8 @@
 
     /** Step down above this: beyond it the spread of true rates makes delivery short. */
     private static final double STEP_DOWN_AT = 1.02;
+    /** What is eased off leaves this use: to just full, true rates would soon call for the next step. */
+    private static final double EASE_TO = 0.92;
     /** Step up only where the step leaves this much free, so that it is not taken back. */
     private static final double STEP_UP_TO = 0.8;
     /** A rung is kept at least so long before a step up: several times what a step costs. */
@@ -649,8 +668,8 @@
     private boolean overfull(Playback pb) {
         MediaHost host = pb.lastTry().host;
         double told = settings.notePeriod > 0 ? eased(host.load, host.own) : 0;
-        return overfull(Math.max(shortLoad(host), told), host.own, host.draw, pb)
-            || overfull(eased(host.rack.load, host.rack.own), host.rack.own, host.rack.draw, pb);
+        return overfull(Math.max(shortLoad(host), told), host.own, host.draw.newest(), pb)
+            || overfull(eased(host.rack.load, host.rack.own), host.rack.own, host.rack.draw.newest(), pb);
     }
 
     /**
@@ -658,7 +677,7 @@
      * once a report: steps are coarse, and gateways that all round up would leave a link half empty.
      */
     private boolean overfull(double load, Samples own, double draw, Playback pb) {
-        return load > STEP_DOWN_AT && own.newest() * (1 - 1 / load) > draw * stepKb(group(pb), pb.rung);
+        return load > STEP_DOWN_AT && own.newest() * (1 - EASE_TO / load) > draw * stepKb(group(pb), pb.rung);
     }
 
     /**
@@ -674,14 +693,14 @@
     }
 
     private List<Playback> overfull() {
-        return playing.stream().filter(pb -> pb.rung > pb.plan.floor && !pb.moving && overfull(pb))
+        return playing.stream().filter(pb -> pb.rung > pb.plan.floor && overfull(pb))
             .min(Comparator.comparingDouble(pb -> stepValue(pb, pb.rung))).map(this::group).orElse(null);
     }
 
     /** Those that share the playback's stream, which step together. */
     private List<Playback> group(Playback pb) {
         return playing.stream().filter(o -> o == pb || pb.plan.live && o.plan == pb.plan && o.rung == pb.rung
-            && o.title == pb.title && o.lastTry().host == pb.lastTry().host && !o.moving).toList();
+            && o.title == pb.title && o.lastTry().host == pb.lastTry().host).toList();
     }
 
     private void step(List<Playback> group, int by) {
@@ -710,11 +729,10 @@
         return (rates[rung] - rates[rung - 1]) * (1 + settings.joinShare * (group.size() - 1));
     }
 
-    /** In turns, each long enough for the others to be told: all would go up into the same room at once. */
     private List<Playback> underused() {
-        return !myTurn(settings.noteDelay + SMOOTHED + settings.notePeriod) ? null : playing.stream()
-            .filter(pb -> pb.rung < highest(pb) && now - pb.rungSince >= STEP_UP_AFTER && !pb.moving
-            && timeLeft(pb) > STEP_UP_AFTER && shortLoad(pb.lastTry().host) == 0 && pb.rung < fairRung(pb))
+        return playing.stream().filter(pb -> pb.rung < highest(pb) && now - pb.rungSince >= STEP_UP_AFTER
+            && (pb.hint <= 0 || pb.hint - (now - pb.playingSince) > STEP_UP_AFTER)
+            && shortLoad(pb.lastTry().host) == 0 && pb.rung < fairRung(pb))
             .map(pb -> group(pb).stream().filter(o -> highest(o) >= fairRung(pb)).toList())
             .filter(group -> !group.isEmpty() && rungsUp(group) > 0).findFirst().orElse(null);
     }
@@ -728,41 +746,24 @@
         // Those that stay behind keep their stream: its sharing is lost.
         double kb = group(pb).size() > group.size() ? pb.plan.rates[rung] * (1 - settings.joinShare) : 0;
         double mark = guessed(host.rack) ? T_LOW : STEP_UP_TO;
-        while (rung < most && room(host, kb + stepKb(group, rung + 1), mark)) {
+        while (rung < most && room(host, kb + stepKb(group, rung + 1), mark)
+            && myPart(host, kb + stepKb(group, rung + 1), mark)) {
             kb += stepKb(group, ++rung);
         }
         return rung - pb.rung;
     }
 
-    /** Time the playback may go on: by its hint, else as if half over. */
-    private long timeLeft(Playback pb) {
-        return pb.hint > 0 ? pb.hint - (now - pb.playingSince) : USUAL_LEFT;
-    }
-
-    /** Without a hint a playback is taken to last this long yet: half of some tens of seconds. */
-    private static final long USUAL_LEFT = 20_000_000_000L;
-    /** Below this share nothing of a playback's revenue is left, whatever its rung. */
-    private static final double LOST_SHARE = 0.7;
-    /** Moves are spaced so that the next is decided on the load that the last one left. */
-    private static final long MOVE_GAP = 300_000_000;
-
-    /** A playback at its lowest rung that still gets far too little, with another holder that has room. */
-    private Playback stranded() {
-        return now - movedAt < MOVE_GAP ? null : first(playing, pb -> {
-            MediaHost host = pb.lastTry().host;
-            boolean starved = shortLoad(host) > 0 && host.asked.value(0) > 1 / LOST_SHARE
-                && host.asked.size() > 1 && host.asked.value(1) > 1 / LOST_SHARE;
-            return starved && !pb.moving && !pb.moved && timeLeft(pb) > USUAL_LEFT / 2
-                && (pb.rung == pb.plan.floor || host.asked.value(0) > 2 / LOST_SHARE)
-                && holders(pb).stream().anyMatch(h -> h != host && paceAllows(h)
-                    && !ill(h, medianFailure()) && room(h, added(pb, h, pb.rung), T_HIGH));
-        });
-    }
-
-    private void move(Playback pb) {
-        pb.moving = true;
-        movedAt = now;
-        gateway.move(pb);
+    /**
+     * Room that was told is shared as easing off is: each gateway takes as much of it as it has of the use,
+     * the first step rounded by chance once a report, so that any number of them fill it once.
+     */
+    private boolean myPart(MediaHost host, double kb, double mark) {
+        if (!known(host.load)) {
+            return false;
+        }
+        double then = host.own.at(host.load.time(0));
+        double part = then * mark / Math.max(host.load.value(0), 0.01) - host.own.newest();
+        return part >= kb * (host.own.newest() > then ? 1 : host.draw.newest());
     }
 
     private static <T> T first(List<T> items, Predicate<T> wanted) {
--- a/src/main/java/cypressvalve/adapter/Instance.java
+++ b/src/main/java/cypressvalve/adapter/Instance.java
@@ -153,8 +153,7 @@
         }
         String item = line.text("item", playback.id);
         Title title = titles.computeIfAbsent(item, Title::new);
-        title.first = (int) line.real("home", 0);
-        title.copies = (int) line.real("span", settings.cells);
+        title.heldBy((int) line.real("home", 0), (int) line.real("span", settings.cells));
         playback.title = title;
         playback.tenant = settings.tenants.getOrDefault(line.text("tenant", ""), -1);
         playback.ceiling = (int) line.real("ceilingRung", settings.ladder.length - 1);
--- a/src/main/java/cypressvalve/adapter/SettingsReader.java
+++ b/src/main/java/cypressvalve/adapter/SettingsReader.java
@@ -96,8 +96,10 @@
         s.racks = (int) Math.max(1, number(family, "shelves", 1));
         s.linkPerRating = number(family, "weightKb", 0);
         s.fleet = number(family, "fleetKb", 0);
-        s.uplink = number(family, "uplinkKb", 0);
+        double uplink = number(family, "uplinkKb", 0);
+        s.uplink = uplink > 0 ? uplink : Double.POSITIVE_INFINITY;
         s.joinShare = number(family, "sharedAdds", 1);
+        s.fullFrom = number(family, "fullFrom", 0);
         s.noteDelay = time(family, "seenAfterNs");
         s.notePeriod = time(family, "tellNs");
         s.ladder = numbers(family, "ladderKb");
--- a/src/main/java/cypressvalve/model/Playback.java
+++ b/src/main/java/cypressvalve/model/Playback.java
@@ -26,12 +26,9 @@
     public long playingSince;
     /** Its final answer is given, or it is over. */
     public boolean answered;
-    public boolean overShare;
     /** It asked for a probe before its set-up, and waits for the result until then. */
     public boolean probed;
     public long waitUntil;
-    /** It was told to move, and has not come off yet. */
-    public boolean moving;
 
     public Playback(String id) {
         this.id = id;
--- a/src/main/java/cypressvalve/model/Samples.java
+++ b/src/main/java/cypressvalve/model/Samples.java
@@ -1,17 +1,24 @@
 package cypressvalve.model;
 
+import java.util.Arrays;
+
 /** The last few measurements of one thing, each with its time; index 0 is the newest. */
 public final class Samples {
-    private final long[] times;
-    private final double[] values;
+    private final int kept;
+    private long[] times = {};
+    private double[] values = {};
     private int count;
 
     public Samples(int kept) {
-        times = new long[kept];
-        values = new double[kept];
+        this.kept = kept;
     }
 
     public void add(long time, double value) {
+        if (count == times.length && count < kept) {
+            int room = Math.min(kept, Math.max(4, 2 * count));
+            times = Arrays.copyOf(times, room);
+            values = Arrays.copyOf(values, room);
+        }
         times[count % times.length] = time;
         values[count % times.length] = value;
         count++;
--- a/src/main/java/cypressvalve/model/Settings.java
+++ b/src/main/java/cypressvalve/model/Settings.java
@@ -24,9 +24,12 @@
     public double linkPerRating;
     /** All links together at the start, 0 if not told. */
     public double fleet;
-    public double uplink;
+    /** Mean uplink of a rack, kB a second; without bound where none is told. */
+    public double uplink = Double.POSITIVE_INFINITY;
     /** What a further viewer adds to a shared stream, as a part of the rate. */
     public double joinShare = 1;
+    /** A media host turns set-ups away while so much of its link is asked for; 0 if it never does. */
+    public double fullFrom;
     public long noteDelay;
     public long notePeriod;
     public boolean reportsOnProbe;
--- a/src/test/java/cypressvalve/Stage.java
+++ b/src/test/java/cypressvalve/Stage.java
@@ -99,7 +99,8 @@
         settings.mayNameComeBack = f.containsKey("comeback");
         settings.longestComeBack = whole(f, "comeback", 0) * MS;
         settings.listOnRequest = f.containsKey("ask");
-        settings.uplink = whole(f, "uplink", 0);
+        settings.uplink = f.containsKey("uplink") ? whole(f, "uplink", 0) : settings.uplink;
+        settings.fullFrom = whole(f, "full", 0);
         settings.fleet = whole(f, "fleet", 0);
         settings.worstPlanWeight = Double.parseDouble(f.getOrDefault("worst", "0"));
         settings.extraFloor = whole(f, "extra", -1);
@@ -136,8 +137,7 @@
         Playback pb = new Playback(name);
         pb.plan = settings.plans.get(whole(f, "plan", 0));
         pb.title = titles.computeIfAbsent(f.getOrDefault("title", "t"), Title::new);
-        pb.title.first = whole(f, "first", 0);
-        pb.title.copies = whole(f, "copies", 3);
+        pb.title.heldBy(whole(f, "first", 0), whole(f, "copies", 3));
         pb.ceiling = whole(f, "ceiling", 3);
         pb.arrivedAt = now;
         pb.abandonAt = now + whole(f, "abandon", 3000) * MS;
