Price aims at T_l where no notes tell; the worst plan's weight is back

Should hold against weak uplinks and link thieves alike; could harm where links are in truth empty and no notes come.

--- a/src/main/java/cypressvalve/Control.java
+++ b/src/main/java/cypressvalve/Control.java
@@ -30,6 +30,7 @@
     private long wakeAt = Long.MIN_VALUE;
     private boolean mustFollow;
     private double price;
+    private Plan worst;
     private double linkScale;
     private long priceAt = Long.MIN_VALUE / 2;
     private double usual;
@@ -65,8 +66,7 @@
 
     public void listed(List<MediaHost> named, boolean whole) {
         lists++;
-        Set<MediaHost> kept = new HashSet<>(named);
-        hosts.values().stream().filter(h -> whole && !kept.contains(h))
+        hosts.values().stream().filter(h -> whole && !named.contains(h))
             .forEach(h -> h.state = MediaHost.State.GONE);
         if (linkScale <= 0 && !named.isEmpty()) {
             // Told sizes are rough one by one; their mean is known, from all links and the number of cells.
@@ -117,13 +117,10 @@
         setupTry.verdict = verdict;
         host.carried.remove(setupTry);
         host.tally(now, settings.joinShare);
-        if (host.load.since(now - SHORT_LIFE) == 0) {
-            // Reports in answers are noisy and late: taken only where no note has come of late.
-            takeReport(host, link, uplink, now - REPORT_AGE);
-        }
-        if (verdict == Verdict.FULL && settings.fullFrom > 0) {
-            // Turned away: a report that costs nothing, from a host that may not have been heard of for long.
-            takeReport(host, settings.fullFrom, Double.NaN, now);
+        // Reports in answers are noisy and late: taken only where no note has come; to be turned away is one.
+        boolean full = verdict == Verdict.FULL && settings.fullFrom > 0;
+        if (full || host.load.since(now - SHORT_LIFE) == 0) {
+            takeReport(host, full ? settings.fullFrom : link, uplink, now - REPORT_AGE);
         }
         blame(host, verdict, BLAMED.contains(verdict) && (!wasPlaying || verdict == Verdict.BROKEN));
         playing.remove(setupTry.playback);
@@ -133,9 +130,7 @@
     }
 
     private void blame(MediaHost host, Verdict verdict, boolean failed) {
-        if (verdict == Verdict.NO_CONNECTION || verdict == Verdict.BROKEN) {
-            host.failedAt = now;
-        }
+        host.failedAt = UNREACHED.contains(verdict) ? now : host.failedAt;
         if (failed) {
             host.failures.add(now, 1);
         }
@@ -143,7 +138,7 @@
 
     public void delivered(SetupTry setupTry, double share) {
         MediaHost host = setupTry.host;
-        redraw(host.draw);
+        host.draw = chance.nextDouble();
         host.asked.add(now - settings.noteDelay - SMOOTHED, 1 / Math.max(share, 0.05));
         // An uplink is short for all behind it: a few weak links in a rack say nothing of it.
         List<MediaHost> used = host.rack.hosts.stream().filter(h -> !h.carried.isEmpty()).toList();
@@ -298,6 +293,7 @@
 
     // Health: a share of failures well over the fleet's median, and for how long it is passed over.
 
+    private static final Set<Verdict> UNREACHED = EnumSet.of(Verdict.NO_CONNECTION, Verdict.BROKEN);
     private static final Set<Verdict> BLAMED =
         EnumSet.of(Verdict.ERROR, Verdict.TIMEOUT, Verdict.NO_CONNECTION, Verdict.BROKEN);
     /** How long failures count: about as long as troubles last. */
@@ -325,7 +321,6 @@
 
     // Load: the freshest reports, corrected by this gateway's own changes since.
 
-    /** Marks of the design page. */
     private static final double T_LOW = 0.6;
     private static final double T_HIGH = 0.85;
     private static final double P_MAX = 0.5;
@@ -343,18 +338,11 @@
     private void takeReport(MediaHost host, double link, double uplink, long at) {
         if (!Double.isNaN(link)) {
             host.load.add(at, link);
-            redraw(host.draw);
+            host.draw = chance.nextDouble();
         }
         if (!Double.isNaN(uplink)) {
             host.rack.load.add(at, uplink);
-            redraw(host.rack.draw);
-        }
-    }
-
-    /** Not before what came of the last draw shows in reports: else the same excess is eased off again. */
-    private void redraw(Samples draw) {
-        if (draw.since(now - settings.noteDelay - SMOOTHED) == 0) {
-            draw.add(now, chance.nextDouble());
+            host.rack.draw = chance.nextDouble();
         }
     }
 
@@ -374,8 +362,8 @@
 
     /** Least use that a host counts with in the mean: one empty host says little of the others. */
     private static final double LEAST_USE = 0.1;
-    /** So many told hosts count as much as the estimate from our own use: both are off by a half. */
-    private static final double OWN_COUNTS = 4;
+    /** Told hosts that one playback of ours counts for: both estimates are off by a half at a handful. */
+    private static final double OWN_COUNTS = 1.5;
 
     /**
      * Link use without reports: own playbacks, and the other gateways' part of the fleet's mean. That is of
@@ -389,8 +377,8 @@
                 / hosts.values().stream().mapToDouble(h -> h.link).sum();
             double[] told = hosts.values().stream().filter(h -> known(h.load))
                 .mapToDouble(h -> 1 / Math.max(LEAST_USE, h.load.value(0))).toArray();
-            usual = (OWN_COUNTS + told.length)
-                / (OWN_COUNTS / Math.max(LEAST_USE, own) + Arrays.stream(told).sum());
+            double counts = OWN_COUNTS * playing.size() + 1;
+            usual = (counts + told.length) / (counts / Math.max(LEAST_USE, own) + Arrays.stream(told).sum());
         }
         return host.own.newest() / host.link + usual * (settings.gateways - 1) / settings.gateways;
     }
@@ -447,7 +435,8 @@
         double share = (1 + settings.joinShare * (joined - 1)) / joined;
         double kb = (pb.plan.rates[rung] - pb.plan.rates[rung - 1]) * share;
         double more = settings.rungRevenue[rung] - settings.rungRevenue[rung - 1];
-        return pb.plan.revenue * more / Math.max(kb, 1e-9);
+        double weight = pb.plan == worst ? 1 + settings.worstPlanWeight * settings.plans.size() : 1;
+        return pb.plan.revenue * weight * more / Math.max(kb, 1e-9);
     }
 
     /** So many playbacks of our own count for what one uses as much as the ladder's middle does. */
@@ -459,12 +448,14 @@
      * Departure: set-ups at the top rung would leave no room for the next (docs/design.md, fair rung). What a
      * playback may use is the fleet's room for one: by what ours use now over the fleet's use, drawn to the
      * ladder's middle the fewer we hold, as a handful that uses little would else stay low, and one high.
+     * It fills to T_h, or to T_l where no notes tell of playing links: to be short costs more than low rungs.
      */
     private double price() {
         if (now - priceAt < BEAT) {
             return price;
         }
         priceAt = now;
+        worst = settings.plans.stream().min(Comparator.comparingDouble(this::served)).orElse(null);
         List<MediaHost> up = hosts.values().stream().filter(h -> h.state == MediaHost.State.ACTIVE).toList();
         double links = up.stream().mapToDouble(h -> h.link).sum();
         double asked = up.stream().mapToDouble(h -> linkLoad(h) * h.link).sum();
@@ -475,7 +466,8 @@
         double middle = latest.stream().mapToDouble(pb -> (pb.plan.live ? settings.joinShare : 1)
             * pb.plan.rates[Math.min(highest(pb), pb.plan.rates.length / 2)]).average().orElse(0);
         double allowed = latest.size() * Math.pow(own / Math.max(playing.size(), 1), 1 - drawn)
-            * Math.pow(middle, drawn) * T_HIGH / Math.max(Math.max(asked / links, uplinks), 1e-3);
+            * Math.pow(middle, drawn) * (settings.notePeriod > 0 ? T_HIGH : T_LOW)
+            / Math.max(Math.max(asked / links, uplinks), 1e-3);
         List<double[]> steps = new ArrayList<>();
         for (Playback pb : latest) {
             double least = Double.MAX_VALUE;
@@ -495,6 +487,13 @@
         return price;
     }
 
+    /** Part of their revenue that a plan's playing ones earn now. */
+    private double served(Plan plan) {
+        List<Playback> of = playing.stream().filter(pb -> pb.plan == plan).toList();
+        double most = of.stream().mapToDouble(pb -> settings.rungRevenue[highest(pb)]).sum();
+        return most <= 0 ? 1 : of.stream().mapToDouble(pb -> settings.rungRevenue[pb.rung]).sum() / most;
+    }
+
     private int highest(Playback pb) {
         return Math.max(pb.plan.floor, Math.min(Math.min(pb.ceiling, pb.plan.top), pb.plan.rates.length - 1));
     }
@@ -598,10 +597,11 @@
                 return home;
             }
         }
-        // Departure: nobody is turned away on a guess: a guessed use alone keeps no lowest rung out.
+        // Departure: nobody is turned away on a guess, nor while the lowest rung still fits a told link.
         return well.stream().sorted(Comparator.comparingDouble(this::load)).filter(h -> shortLoad(h) == 0
-            && (!known(h.load)
-            || guessed(h.rack) && load(h) + added(pb, h, pb.plan.floor) / h.link <= T_HIGH))
+            && (!known(h.load) || load(h) + added(pb, h, pb.plan.floor) / h.link <= FULL_SHARE)
+            && (guessed(h.rack)
+            || rackLoad(h.rack) + added(pb, h, pb.plan.floor) / settings.uplink <= FULL_SHARE))
             .findFirst().orElse(null);
     }
 
@@ -668,8 +668,8 @@
     private boolean overfull(Playback pb) {
         MediaHost host = pb.lastTry().host;
         double told = settings.notePeriod > 0 ? eased(host.load, host.own) : 0;
-        return overfull(Math.max(shortLoad(host), told), host.own, host.draw.newest(), pb)
-            || overfull(eased(host.rack.load, host.rack.own), host.rack.own, host.rack.draw.newest(), pb);
+        return overfull(Math.max(shortLoad(host), told), host.own, host.draw, pb)
+            || overfull(eased(host.rack.load, host.rack.own), host.rack.own, host.rack.draw, pb);
     }
 
     /**
@@ -763,7 +763,7 @@
         }
         double then = host.own.at(host.load.time(0));
         double part = then * mark / Math.max(host.load.value(0), 0.01) - host.own.newest();
-        return part >= kb * (host.own.newest() > then ? 1 : host.draw.newest());
+        return part >= kb * (host.own.newest() > then ? 1 : host.draw);
     }
 
     private static <T> T first(List<T> items, Predicate<T> wanted) {
--- a/src/main/java/cypressvalve/model/MediaHost.java
+++ b/src/main/java/cypressvalve/model/MediaHost.java
@@ -30,8 +30,8 @@
     public final Samples failures = new Samples(8);
     /** What was asked of its link over what the link gives, as told. */
     public final Samples load = new Samples(4);
-    /** Numbers from 0 to 1 drawn with some of these. */
-    public final Samples draw = new Samples(1);
+    /** A number from 0 to 1 drawn with the last of these. */
+    public double draw;
     /** What was asked for over what arrived, by the told share of delivery; 1 if nothing is short. */
     public final Samples asked = new Samples(4);
     /** What this gateway's own playbacks ask of it, kB a second. */
--- a/src/main/java/cypressvalve/model/Rack.java
+++ b/src/main/java/cypressvalve/model/Rack.java
@@ -9,8 +9,8 @@
     public final List<MediaHost> hosts = new ArrayList<>();
     /** What was asked of the uplink over what it gives, as told. */
     public final Samples load = new Samples(4);
-    /** Numbers from 0 to 1 drawn with some of these. */
-    public final Samples draw = new Samples(1);
+    /** A number from 0 to 1 drawn with the last of these. */
+    public double draw;
     /** What this gateway's own playbacks ask of it, kB a second. */
     public final Samples own = new Samples(128);
 
