--- a/src/main/java/cypressvalve/Control.java
+++ b/src/main/java/cypressvalve/Control.java
@@ -53,8 +53,6 @@
         chance = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
     }
 
-    // What happens: at() before each input, then the input, then settle().
-
     public void at(long time) {
         now = time;
         usualAt = Long.MIN_VALUE;
@@ -202,7 +200,6 @@
 
     // Rule 4: a media host that may be cold takes a few set-ups at a time, gateways taking turns.
 
-    /** Just started as told, or seen to fail with no start told since. */
     private boolean cold(MediaHost host) {
         return host.failedAt > host.startedAt || now < host.coldUntil
             || host.startedAt > 0 && now < host.startedAt + settings.coldTime;
@@ -319,7 +316,7 @@
         return shares.length == 0 ? 0 : shares[shares.length / 2];
     }
 
-    // Load: the freshest reports, corrected by this gateway's own changes since.
+    // Load, and the marks of the design page.
 
     private static final double T_LOW = 0.6;
     private static final double T_HIGH = 0.85;
@@ -611,10 +608,12 @@
             && room(host, added(pb, host, r), T_HIGH)).max().orElse(-1);
     }
 
+    /** Departure: on a host that none tells of, rungs go half way between the marks: its use is a guess. */
     private int rungAt(Playback pb, MediaHost host, int top) {
+        double mark = known(host.load) ? T_HIGH : (T_LOW + T_HIGH) / 2;
         int joinAt = joinRung(pb, host);
         return joinAt >= 0 ? joinAt : IntStream.rangeClosed(pb.plan.floor, top)
-            .filter(r -> room(host, added(pb, host, r), T_HIGH)).max().orElse(pb.plan.floor);
+            .filter(r -> room(host, added(pb, host, r), mark)).max().orElse(pb.plan.floor);
     }
 
     /** Part of the time left that a try gets while another may follow: one more fits after it. */
