A probe for a playback at the lowest rung that would step up

Where reports come on probes only, a gateway of many hears of a host at its own set-ups alone, and steps up only on what it is told. Now a host with a playback at the lowest rung that would step up is asked once a report's life. Also answers low rungs left by a trouble that has passed; could harm where an uplink, which no probe tells of, is what is full.

--- a/src/main/java/cypressvalve/Control.java
+++ b/src/main/java/cypressvalve/Control.java
@@ -42,7 +42,8 @@
         rule(() -> first(open, pb -> !pb.onHost() && now >= pb.waitUntil), this::place),
         rule(this::overfull, group -> step(group, -1)),
         rule(this::underused, group -> step(group, rungsUp(group))),
-        rule(this::untold, this::tellRung),
+        rule(() -> first(playing, pb -> pb.rung != pb.rungTold), this::tellRung),
+        rule(this::unheard, this::ask),
         rule(() -> nextLook() < (wakeAt > now ? wakeAt : Long.MAX_VALUE) ? nextLook() : null, this::wake));
 
     public Control(Settings settings, long seed, long time, Gateway gateway) {
@@ -288,8 +289,6 @@
             .filter(t -> t.playback.plan == pb.plan && t.playback.title == pb.title).count() < pb.plan.seats;
     }
 
-    // Health: a share of failures well over the fleet's median, and for how long it is passed over.
-
     private static final Set<Verdict> UNREACHED = EnumSet.of(Verdict.NO_CONNECTION, Verdict.BROKEN);
     private static final Set<Verdict> BLAMED =
         EnumSet.of(Verdict.ERROR, Verdict.TIMEOUT, Verdict.NO_CONNECTION, Verdict.BROKEN);
@@ -409,10 +408,6 @@
         return told(rack.load, rack.own, settings.uplink, rackAsked(rack) / given);
     }
 
-    private boolean guessed(Rack rack) {
-        return Double.isFinite(settings.uplink) && !known(rack.load);
-    }
-
     private double added(Playback pb, MediaHost host, int rung) {
         return pb.plan.rates[rung] * (host.joins(pb, rung) ? settings.joinShare : 1);
     }
@@ -457,7 +452,7 @@
         double links = up.stream().mapToDouble(h -> h.link).sum();
         double asked = up.stream().mapToDouble(h -> linkLoad(h) * h.link).sum();
         double own = up.stream().mapToDouble(h -> h.own.newest()).sum();
-        double uplinks = racks.values().stream().mapToDouble(r -> guessed(r)
+        double uplinks = racks.values().stream().mapToDouble(r -> !known(r.load)
             ? asked / racks.size() / settings.uplink : rackLoad(r)).average().orElse(0) - UPLINK_MORE;
         double drawn = FEW / (playing.size() + FEW);
         double middle = latest.stream().mapToDouble(pb -> (pb.plan.live ? settings.joinShare : 1)
@@ -500,8 +495,6 @@
             .takeWhile(r -> stepValue(pb, r) >= price()).max().orElse(pb.plan.floor);
     }
 
-    // The ordinary path.
-
     /** Holders that may be sent this playback, home first: own zone, then a hash that all gateways share. */
     private List<MediaHost> holders(Playback pb) {
         Title title = pb.title;
@@ -539,11 +532,10 @@
         } else if (host == null) {
             answer(pb);
         } else if (settings.mayProbe && settings.reportsOnProbe && !pb.probed && !host.probeOut
-            && host.load.since(now - PROBE_AGE) == 0 && now - host.probedAt > PROBE_AGE) {
-            pb.probed = host.probeOut = true;
+            && host.load.since(now - SHORT_LIFE) == 0 && now - host.probedAt > SHORT_LIFE) {
+            pb.probed = true;
             pb.waitUntil = now + PROBE_WAIT;
-            host.probedAt = now;
-            gateway.probe(host);
+            ask(host);
         } else {
             send(pb, host, rungAt(pb, host, top));
         }
@@ -551,9 +543,6 @@
 
     /** A probe takes a round trip; one that takes longer than this is not waited for. */
     private static final long PROBE_WAIT = 100_000_000;
-    /** Probes are priced: none where a report is younger than this. */
-    private static final long PROBE_AGE = 3_000_000_000L;
-
     /**
      * Departure: where the home is not told of, a title that one link cannot carry has several, the next in
      * the same order, and each gateway keeps to one by its own number: with many gateways all would send to
@@ -597,7 +586,7 @@
         // Departure: nobody is turned away on a guess, nor while the lowest rung still fits a told link.
         return well.stream().sorted(Comparator.comparingDouble(this::load)).filter(h -> shortLoad(h) == 0
             && (!known(h.load) || load(h) + added(pb, h, pb.plan.floor) / h.link <= FULL_SHARE)
-            && (guessed(h.rack)
+            && (!known(h.rack.load)
             || rackLoad(h.rack) + added(pb, h, pb.plan.floor) / settings.uplink <= FULL_SHARE))
             .findFirst().orElse(null);
     }
@@ -652,8 +641,6 @@
         open.remove(pb);
     }
 
-    // Departures while playing: short delivery costs far more than a lower rung.
-
     /** Step down above this: beyond it the spread of true rates makes delivery short. */
     private static final double STEP_DOWN_AT = 1.02;
     /** What is eased off leaves this use: to just full, true rates would soon call for the next step. */
@@ -710,41 +697,50 @@
         group.get(0).lastTry().host.tally(now, settings.joinShare);
     }
 
-    // Each change costs alike, however many rungs it spans: only the last of a moment goes out.
-
-    private Playback untold() {
-        return first(playing, pb -> pb.rung != pb.rungTold);
-    }
-
     /** Rule 5's guard: whatever a rule wished, no rung leaves that is under the floor or over the highest. */
     private void tellRung(Playback pb) {
         pb.rung = pb.rungTold = Math.max(pb.plan.floor, Math.min(pb.rung, highest(pb)));
         gateway.setRung(pb, pb.rung);
     }
 
-    /** What the step up to that rung adds for those that share a stream. */
     private double stepKb(List<Playback> group, int rung) {
         double[] rates = group.get(0).plan.rates;
         return (rates[rung] - rates[rung - 1]) * (1 + settings.joinShare * (group.size() - 1));
     }
 
-    private List<Playback> underused() {
-        return playing.stream().filter(pb -> pb.rung < highest(pb) && now - pb.rungSince >= STEP_UP_AFTER
+    private boolean wantsUp(Playback pb) {
+        return pb.rung < highest(pb) && now - pb.rungSince >= STEP_UP_AFTER
             && (pb.hint <= 0 || pb.hint - (now - pb.playingSince) > STEP_UP_AFTER)
-            && shortLoad(pb.lastTry().host) == 0 && pb.rung < fairRung(pb))
+            && shortLoad(pb.lastTry().host) == 0 && pb.rung < fairRung(pb);
+    }
+
+    private List<Playback> underused() {
+        return playing.stream().filter(this::wantsUp)
             .map(pb -> group(pb).stream().filter(o -> highest(o) >= fairRung(pb)).toList())
             .filter(group -> !group.isEmpty() && rungsUp(group) > 0).findFirst().orElse(null);
     }
 
+    /** Where reports come on probes only, lowest rungs would stay on empty links: one in a report's life. */
+    private MediaHost unheard() {
+        return !settings.mayProbe || !settings.reportsOnProbe ? null : first(playing.stream()
+            .filter(pb -> pb.rung == pb.plan.floor && wantsUp(pb)).map(pb -> pb.lastTry().host).toList(),
+            h -> !h.probeOut && now - h.probedAt > REPORT_LIFE);
+    }
+
+    private void ask(MediaHost host) {
+        host.probeOut = true;
+        host.probedAt = now;
+        gateway.probe(host);
+    }
+
     /** How many rungs those that share a stream may go up at once, towards their fair rung. */
     private int rungsUp(List<Playback> group) {
         Playback pb = group.get(0);
         MediaHost host = pb.lastTry().host;
         int most = Math.min(fairRung(pb), group.stream().mapToInt(this::highest).min().orElse(0));
         int rung = pb.rung;
-        // Those that stay behind keep their stream: its sharing is lost.
         double kb = group(pb).size() > group.size() ? pb.plan.rates[rung] * (1 - settings.joinShare) : 0;
-        double mark = guessed(host.rack) ? T_LOW : STEP_UP_TO;
+        double mark = Double.isFinite(settings.uplink) && !known(host.rack.load) ? T_LOW : STEP_UP_TO;
         while (rung < most && room(host, kb + stepKb(group, rung + 1), mark)
             && myPart(host, kb + stepKb(group, rung + 1), mark)) {
             kb += stepKb(group, ++rung);
