--- a/src/main/java/cypressvalve/Control.java
+++ b/src/main/java/cypressvalve/Control.java
@@ -543,6 +543,7 @@
 
     /** A probe takes a round trip; one that takes longer than this is not waited for. */
     private static final long PROBE_WAIT = 100_000_000;
+
     /**
      * Departure: where the home is not told of, a title that one link cannot carry has several, the next in
      * the same order, and each gateway keeps to one by its own number: with many gateways all would send to
--- a/src/main/java/cypressvalve/adapter/Instance.java
+++ b/src/main/java/cypressvalve/adapter/Instance.java
@@ -160,7 +160,7 @@
         playback.arrivedAt = now;
         playback.abandonAt = now + line.whole("ttlNs", Long.MAX_VALUE / 4);
         playback.hint = line.whole("hintNs", 0);
-        playback.moved = line.flag("relocated");
+        line.flag("relocated");
         playbacks.put(playback.id, playback);
         return playback;
     }
--- a/src/main/java/cypressvalve/model/Playback.java
+++ b/src/main/java/cypressvalve/model/Playback.java
@@ -15,7 +15,6 @@
     public long abandonAt;
     /** A rough guess of its length, 0 if none is given. */
     public long hint;
-    public boolean moved;
 
     public final List<SetupTry> tries = new ArrayList<>();
     /** The rung in force, and since when. */
