Two fifths of a turn at a cold host are used, so that gateways' clocks may differ

Cause: turns at a fresh host lie one told window apart, so two gateways whose clocks differ at all could both send inside one window. Change: Control uses 0.4 of a slot where it used half; what is free beyond one window, a tenth of a slot, is told by clockSlack for the running gateway's check at start.

--- a/src/main/java/cypressvalve/Control.java
+++ b/src/main/java/cypressvalve/Control.java
@@ -208,10 +208,17 @@
 
     /** Part of the told limit that is used: a set-up may weigh more than the usual one. */
     private static final double COLD_PART = 0.6;
+    /** Part of a slot that is used: a tenth under the half, for clocks that differ and set-ups on their way. */
+    private static final double SLOT_PART = 0.4;
+
+    /** How far gateways' clocks may be apart, travel of a set-up included, so that a window meets one turn. */
+    public static long clockSlack(long fallTime) {
+        return (long) (2 * fallTime * (0.5 - SLOT_PART));
+    }
 
     /**
-     * Time is cut into slots that belong to one gateway each, by number, of which the first half is used: any
-     * window meets one such half and so what it may hold at the lowest warmth, however many gateways there
+     * Time is cut into slots that belong to one gateway each, by number, of which the first part is used: any
+     * window meets one such part and so what it may hold at the lowest warmth, however many gateways there
      * are. A gateway that is only unsure of the start spaces its set-ups instead.
      */
     private boolean paceAllows(MediaHost host) {
@@ -224,7 +231,7 @@
         }
         long slot = 2 * Math.max(1, settings.fallTime);
         long begin = now - Math.floorMod(now, slot);
-        return Math.floorMod(now / slot, settings.gateways) == settings.me && now - begin < slot / 2
+        return Math.floorMod(now / slot, settings.gateways) == settings.me && now - begin < slot * SLOT_PART
             && host.sent.since(begin) < Math.max(1, (int) window);
     }
 
