--- /dev/null
+++ b/src/main/java/cypressvalve/host/HostClient.java
@@ -0,0 +1,73 @@
+package cypressvalve.host;
+
+import cypressvalve.model.Verdict;
+
+/**
+ * A gateway's way to its media hosts. All calls are made, and all results told, on the gateway's loop; no result is
+ * told before the call that led to it has returned. Each set-up and each probe has exactly one result.
+ */
+public interface HostClient {
+    /** How a set-up ended. */
+    interface SetUpResult {
+        /** The host took it and plays; the report is {@link LoadReport#NONE} where none came. */
+        void started(LoadReport report);
+
+        /**
+         * It does not play. NOT_SENT and NO_CONNECTION are told only where no byte of it can have left; a reset
+         * or a time-out after that is no proof.
+         */
+        void cameBack(Verdict verdict, LoadReport report);
+    }
+
+    /** How a probe ended. */
+    interface ProbeResult {
+        void probed(Verdict verdict, LoadReport report);
+    }
+
+    /** What media hosts tell unasked of the sessions that this gateway holds there. */
+    interface Notes {
+        /** Share of the rates that arrives at that host, told on one of its sessions. */
+        void delivered(long host, String session, double share);
+
+        /** Link and uplink use, told on one session; NaN where not told. */
+        void load(long host, String session, LoadReport report);
+
+        /** The session is over at the host. */
+        void ended(long host, String session);
+
+        /**
+         * All sessions that the host carries for this gateway, told whenever listening begins (again).
+         *
+         * @param askedAt System.nanoTime() when it was asked; what began later may be missing
+         */
+        void carried(long host, java.util.Set<String> sessions, long askedAt);
+
+        /** The host is lost and all that it carried for this gateway with it. */
+        void lost(long host);
+    }
+
+    /** Out on its way; can be taken back. */
+    interface Call {
+        /** Stops waiting and tells the host; the result is then WITHDRAWN, or NOT_SENT where nothing had left. */
+        void withdraw();
+    }
+
+    Call setUp(HostAddress host, SetUpOrder order, SetUpResult result);
+
+    /** Tells the host the rung of a session that it set up or is setting up. */
+    void setRung(HostAddress host, String session, int rung);
+
+    /** Ends a session at the host; repeated until the host has heard it or is gone. */
+    void release(HostAddress host, String session);
+
+    void probe(HostAddress host, ProbeResult result);
+
+    /** Gives back idle connections. */
+    void freeLinks(HostAddress host);
+
+    /** Listens to the host's notes from now on, or no longer. */
+    void follow(HostAddress host, boolean on);
+
+    /** Closes everything; no result is told any more. */
+    void close();
+}
--- /dev/null
+++ b/src/main/java/cypressvalve/session/CoreEvents.java
@@ -0,0 +1,23 @@
+package cypressvalve.session;
+
+import cypressvalve.model.Verdict;
+
+/** What the core tells its metrics; times in nanoseconds. */
+public interface CoreEvents {
+    /** Nothing listens. */
+    CoreEvents NONE = new CoreEvents() { };
+
+    /** A request got its answer: playing, rejected, failed, or left before one. */
+    default void answered(String outcome, String plan, long took) { }
+
+    /** A setup try ended; null stands for started. */
+    default void tried(Verdict verdict, long took) { }
+
+    default void rungStep(int by) { }
+
+    /** A playing session ended. */
+    default void ended(Session.End end) { }
+
+    /** How long a task of the core waited for the loop. */
+    default void loopDelay(long waited) { }
+}
--- /dev/null
+++ b/src/main/java/cypressvalve/session/Session.java
@@ -0,0 +1,85 @@
+package cypressvalve.session;
+
+import cypressvalve.config.Service;
+import cypressvalve.host.HostAddress;
+import cypressvalve.model.Playback;
+import java.util.ArrayList;
+import java.util.List;
+
+/** One playback as fronts see it, from the request to its end. Read and changed on the loop only. */
+public final class Session {
+    /** Where it stands. */
+    public enum State { OPENING, PLAYING, ENDED }
+
+    /** Why a session is over. */
+    public enum End { REJECTED, FAILED, LEFT, SILENT, HOST_LOST, MOVED, DRAINED }
+
+    private final Ask ask;
+    private final Service.TitleRow title;
+    final Playback playback;
+    final List<Answer> waiting = new ArrayList<>();
+    State state = State.OPENING;
+    End end;
+    HostAddress host;
+    long lastSeen;
+    /** System.nanoTime() when it began to play. */
+    long begunAt;
+
+    Session(Ask ask, Service.TitleRow title, Playback playback) {
+        this.ask = ask;
+        this.title = title;
+        this.playback = playback;
+    }
+
+    /** The gateway's name of it, unguessable. */
+    public String id() {
+        return playback.id;
+    }
+
+    public Ask ask() {
+        return ask;
+    }
+
+    public Service.TitleRow title() {
+        return title;
+    }
+
+    public State state() {
+        return state;
+    }
+
+    /** Why it is over; null until then. */
+    public End end() {
+        return end;
+    }
+
+    /** The media host in force; null until it plays. */
+    public HostAddress host() {
+        return host;
+    }
+
+    /** The rung in force. */
+    public int rung() {
+        return playback.rungTold;
+    }
+
+    /** The highest rung that plan and screen may use. */
+    public int highestRung() {
+        return Math.max(playback.plan.floor,
+            Math.min(Math.min(playback.ceiling, playback.plan.top), playback.plan.rates.length - 1));
+    }
+
+    /** Rate of a rung in the session's plan, kB a second. */
+    public double rate(int rung) {
+        return playback.plan.rates[rung];
+    }
+
+    /** The name of the try that plays, as the media host knows it. */
+    public String hostSession() {
+        return name(playback);
+    }
+
+    static String name(Playback playback) {
+        return playback.id + "." + playback.lastTry().number;
+    }
+}
--- /dev/null
+++ b/src/main/java/cypressvalve/session/SessionCore.java
@@ -0,0 +1,558 @@
+package cypressvalve.session;
+
+import static net.logstash.logback.argument.StructuredArguments.kv;
+
+import cypressvalve.Control;
+import cypressvalve.Gateway;
+import cypressvalve.config.Service;
+import cypressvalve.fleet.ListEntry;
+import cypressvalve.host.HostAddress;
+import cypressvalve.host.HostClient;
+import cypressvalve.host.LoadReport;
+import cypressvalve.host.SetUpOrder;
+import cypressvalve.model.MediaHost;
+import cypressvalve.model.Playback;
+import cypressvalve.model.Settings;
+import cypressvalve.model.SetupTry;
+import cypressvalve.model.Title;
+import cypressvalve.model.Verdict;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * What every front shares: one loop, one Control, the playbacks from request to end, one answer each. It carries out
+ * what Control decides and tells it what happened; docs/session.md has the table of both. All methods are called on
+ * the loop unless they say otherwise.
+ */
+public final class SessionCore implements Gateway, HostClient.Notes {
+    private static final Logger LOG = LoggerFactory.getLogger(SessionCore.class);
+    /** How often silent viewers are looked for, and the loop's delay is measured. */
+    private static final long SWEEP = 500_000_000L;
+
+    private final Service service;
+    private final Settings settings;
+    private final Clock clock;
+    private final Loop loop;
+    private final HostClient client;
+    private final CoreEvents events;
+    private final Consumer<Throwable> onFailure;
+    private final ListFollower follower;
+    private final SessionIds ids;
+    private final int mostSessions;
+    private final Control control;
+    private final Map<String, Session> sessions = new LinkedHashMap<>();
+    private final Map<String, Session> byKey = new HashMap<>();
+    private final Map<String, Title> titles = new HashMap<>();
+    private final Map<Long, MediaHost> hosts = new HashMap<>();
+    private final Map<Long, HostAddress> addresses = new HashMap<>();
+    private final Map<SetupTry, HostClient.Call> calls = new HashMap<>();
+    private final Map<Long, Integer> playingAt = new HashMap<>();
+    private final ArrayDeque<Runnable> after = new ArrayDeque<>();
+    private final ArrayDeque<Runnable> inputs = new ArrayDeque<>();
+    private boolean deciding;
+    private boolean draining;
+    private boolean closed;
+    private Runnable whenEmpty;
+    private Loop.Cancel wake;
+    private long wakeTime;
+
+    /** Asks for the list where Control wants it; sources that push do nothing. */
+    public interface ListFollower {
+        void follow(boolean on);
+
+        void fetch();
+    }
+
+    /**
+     * @param settings this gateway's own, made by {@link Service#control}
+     * @param mostSessions playbacks held at once; further requests are rejected before any decision
+     * @param onFailure told once if the decisions fail; the core then serves nothing any more
+     */
+    public SessionCore(Service service, Settings settings, long seed, Clock clock, Loop loop, HostClient client,
+        ListFollower follower, int mostSessions, CoreEvents events, Consumer<Throwable> onFailure) {
+        this.service = service;
+        this.settings = settings;
+        this.clock = clock;
+        this.loop = loop;
+        this.client = client;
+        this.follower = follower;
+        this.mostSessions = mostSessions;
+        this.events = events;
+        this.onFailure = onFailure;
+        ids = new SessionIds(settings.me);
+        control = new Control(settings, seed, clock.now(), this);
+        service.titles().values().forEach(row -> {
+            Title title = new Title(row.key());
+            title.heldBy(row.first(), row.copies());
+            titles.put(row.key(), title);
+        });
+    }
+
+    /** Begins to look after timers; called once, on the loop. */
+    public void start() {
+        input(() -> { });
+        sweepLater(clock.now());
+    }
+
+    public Service service() {
+        return service;
+    }
+
+    public Clock clock() {
+        return clock;
+    }
+
+    /** Whether it serves: not draining, not failed. */
+    public boolean healthy() {
+        return !closed && !draining;
+    }
+
+    /** Sessions held, by state. */
+    public long held(Session.State state) {
+        return sessions.values().stream().filter(s -> s.state == state).count();
+    }
+
+    /** Media hosts known, by state. */
+    public long hosts(MediaHost.State state) {
+        return hosts.values().stream().filter(h -> h.state == state).count();
+    }
+
+    /** The session of that id, or null if it is over or was never here. */
+    public Session session(String id) {
+        return sessions.get(id);
+    }
+
+    /** Whether that id was made by this gateway. */
+    public boolean mine(String id) {
+        return ids.mine(id);
+    }
+
+    /**
+     * A viewer asks to watch. If the same viewer's playback is open or plays already this request joins it: it gets
+     * the same answer, and no second set-up goes out.
+     *
+     * @return the session that the request now belongs to, null if it was answered at once
+     */
+    public Session ask(Ask ask, Answer answer) {
+        Session joined = ask.key() == null ? null : byKey.get(ask.key());
+        if (joined != null) {
+            joined.lastSeen = clock.now();
+            if (joined.state == Session.State.PLAYING) {
+                answer.playing(joined);
+            } else {
+                joined.waiting.add(answer);
+            }
+            return joined;
+        }
+        if (closed || draining || sessions.size() >= mostSessions) {
+            events.answered("rejected", ask.plan(), 0);
+            answer.rejected(0);
+            return null;
+        }
+        Playback pb = new Playback(ids.next());
+        pb.plan = settings.plansByName.get(ask.plan());
+        pb.title = titles.get(ask.title());
+        pb.tenant = settings.tenants.getOrDefault(ask.tenant(), -1);
+        pb.ceiling = ask.ceiling();
+        pb.hint = ask.hint();
+        Session session = new Session(ask, service.titles().get(ask.title()), pb);
+        session.waiting.add(answer);
+        session.lastSeen = clock.now();
+        sessions.put(pb.id, session);
+        if (ask.key() != null) {
+            byKey.put(ask.key(), session);
+        }
+        input(() -> {
+            pb.arrivedAt = now();
+            pb.abandonAt = pb.arrivedAt + ask.patience();
+            pb.waitUntil = pb.arrivedAt;
+            control.requested(pb);
+        });
+        return session;
+    }
+
+    /** A waiting request's viewer hung up; when nobody waits for the playback any more it is over. */
+    public void hungUp(Session session, Answer answer) {
+        if (session.waiting.remove(answer) && session.waiting.isEmpty() && session.state == Session.State.OPENING) {
+            events.answered("left", session.ask().plan(), clock.now() - session.playback.arrivedAt);
+            over(session, Session.End.LEFT);
+        }
+    }
+
+    /** The viewer was heard of. */
+    public void seen(Session session) {
+        session.lastSeen = clock.now();
+    }
+
+    /** The viewer ends its session: seat and place are free at once. */
+    public void end(Session session) {
+        over(session, Session.End.LEFT);
+    }
+
+    private void over(Session session, Session.End end) {
+        if (session.state == Session.State.PLAYING) {
+            client.release(session.host, session.hostSession());
+            ended(session, end, Verdict.OK);
+        } else if (session.state == Session.State.OPENING) {
+            session.end = end;
+            session.state = Session.State.ENDED;
+            drop(session);
+            input(() -> {
+                control.over(session.playback);
+                SetupTry last = session.playback.lastTry();
+                if (last != null && calls.containsKey(last)) {
+                    calls.get(last).withdraw();
+                }
+            });
+        }
+    }
+
+    /** A playing session is over: the module hears of it, the front finds it gone. */
+    private void ended(Session session, Session.End end, Verdict verdict) {
+        SetupTry last = session.playback.lastTry();
+        session.end = end;
+        session.state = Session.State.ENDED;
+        drop(session);
+        unfollow(last.host);
+        events.ended(end);
+        LOG.info("session over {} {} {}", kv("playback", session.id()), kv("host", last.host.id), kv("end", end));
+        input(() -> control.cameBack(last, verdict, true, Double.NaN, Double.NaN));
+    }
+
+    private void drop(Session session) {
+        sessions.remove(session.id());
+        if (session.ask().key() != null) {
+            byKey.remove(session.ask().key(), session);
+        }
+        if (sessions.isEmpty() && whenEmpty != null) {
+            loop.execute(whenEmpty);
+            whenEmpty = null;
+        }
+    }
+
+    /** Takes nothing new, ends what plays, lets what is open get its answer; then runs the task. */
+    public void drain(Runnable done) {
+        draining = true;
+        whenEmpty = done;
+        List.copyOf(sessions.values()).stream().filter(s -> s.state == Session.State.PLAYING)
+            .forEach(s -> over(s, Session.End.DRAINED));
+        if (sessions.isEmpty() && whenEmpty != null) {
+            loop.execute(whenEmpty);
+            whenEmpty = null;
+        }
+    }
+
+    /** A list of media hosts came: all of them, or what has changed. */
+    public void listed(Collection<ListEntry> entries, boolean whole) {
+        input(() -> {
+            List<MediaHost> named = new ArrayList<>(entries.size());
+            for (ListEntry entry : entries) {
+                addresses.put(entry.address().id(), entry.address());
+                MediaHost host = hosts.computeIfAbsent(entry.address().id(), MediaHost::new);
+                host.state = entry.state();
+                host.rating = entry.weight();
+                host.startedAt = entry.startedAt();
+                host.cell = entry.cell();
+                host.kind = entry.kind();
+                host.zone = entry.zone();
+                host.link = Math.max(1, host.rating * settings.linkPerRating);
+                host.places = settings.places.getOrDefault(host.kind, 1.0);
+                named.add(host);
+            }
+            control.listed(named, whole);
+        });
+    }
+
+    /** The source of the list failed to answer. */
+    public void listFailed() {
+        input(control::listFailed);
+    }
+
+    // What media hosts tell.
+
+    private Session at(long host, String name) {
+        int dot = name.lastIndexOf('.');
+        Session session = dot < 0 ? null : sessions.get(name.substring(0, dot));
+        return session != null && session.state == Session.State.PLAYING && session.host.id() == host
+            && session.hostSession().equals(name) ? session : null;
+    }
+
+    @Override
+    public void delivered(long host, String name, double share) {
+        Session session = at(host, name);
+        if (session != null) {
+            input(() -> control.delivered(session.playback.lastTry(), share));
+        }
+    }
+
+    @Override
+    public void load(long host, String name, LoadReport report) {
+        Session session = at(host, name);
+        if (session != null) {
+            input(() -> control.loadTold(session.playback.lastTry(), report.link(), report.uplink()));
+        }
+    }
+
+    @Override
+    public void ended(long host, String name) {
+        Session session = at(host, name);
+        if (session != null) {
+            ended(session, Session.End.SILENT, Verdict.OK);
+        }
+    }
+
+    @Override
+    public void carried(long host, Set<String> names, long askedAt) {
+        List.copyOf(sessions.values()).stream().filter(s -> s.state == Session.State.PLAYING && s.host.id() == host
+            && s.begunAt < askedAt && !names.contains(s.hostSession()))
+            .forEach(s -> ended(s, Session.End.HOST_LOST, Verdict.BROKEN));
+    }
+
+    @Override
+    public void lost(long host) {
+        List.copyOf(sessions.values()).stream()
+            .filter(s -> s.state == Session.State.PLAYING && s.host.id() == host)
+            .forEach(s -> ended(s, Session.End.HOST_LOST, Verdict.BROKEN));
+    }
+
+    private void follow(MediaHost host) {
+        if (playingAt.merge(host.id, 1, Integer::sum) == 1) {
+            client.follow(addresses.get(host.id), true);
+        }
+    }
+
+    private void unfollow(MediaHost host) {
+        if (playingAt.merge(host.id, -1, Integer::sum) == 0) {
+            playingAt.remove(host.id);
+            client.follow(addresses.get(host.id), false);
+        }
+    }
+
+    // What Control decides.
+
+    @Override
+    public void setUp(Playback pb, MediaHost host, long maxWait) {
+        SetupTry setupTry = pb.lastTry();
+        Session session = sessions.get(pb.id);
+        SetUpOrder order = new SetUpOrder(pb.id, setupTry.number, pb.title.key, session.ask().plan(), pb.rung, maxWait);
+        HostAddress address = addresses.get(host.id);
+        LOG.debug("set-up {} {} {} {}", kv("playback", pb.id), kv("try", setupTry.number), kv("host", host.id),
+            kv("rung", pb.rung));
+        calls.put(setupTry, client.setUp(address, order, new HostClient.SetUpResult() {
+            @Override
+            public void started(LoadReport report) {
+                input(() -> begun(session, setupTry, address, report));
+            }
+
+            @Override
+            public void cameBack(Verdict verdict, LoadReport report) {
+                input(() -> back(setupTry, verdict, report));
+            }
+        }));
+    }
+
+    private void begun(Session session, SetupTry setupTry, HostAddress address, LoadReport report) {
+        calls.remove(setupTry);
+        events.tried(Verdict.OK, now() - setupTry.sentAt);
+        if (session.state != Session.State.OPENING) {
+            client.release(address, Session.name(session.playback));
+            control.cameBack(setupTry, Verdict.WITHDRAWN, true, report.link(), report.uplink());
+            return;
+        }
+        session.state = Session.State.PLAYING;
+        session.host = address;
+        session.begunAt = System.nanoTime();
+        session.lastSeen = now();
+        follow(setupTry.host);
+        control.started(setupTry);
+        if (!Double.isNaN(report.link()) || !Double.isNaN(report.uplink())) {
+            control.loadTold(setupTry, report.link(), report.uplink());
+        }
+        answer(session, "playing", a -> a.playing(session));
+    }
+
+    private void back(SetupTry setupTry, Verdict verdict, LoadReport report) {
+        calls.remove(setupTry);
+        events.tried(verdict, now() - setupTry.sentAt);
+        LOG.info("try came back {} {} {} {} {}", kv("playback", setupTry.playback.id), kv("try", setupTry.number),
+            kv("host", setupTry.host.id), kv("verdict", verdict), kv("ms", (now() - setupTry.sentAt) / 1_000_000));
+        control.cameBack(setupTry, verdict, setupTry.playback.answered, report.link(), report.uplink());
+    }
+
+    /** Answers all that wait, after the module is done with its input. */
+    private void answer(Session session, String outcome, Consumer<Answer> how) {
+        long took = now() - session.playback.arrivedAt;
+        events.answered(outcome, session.ask().plan(), took);
+        LOG.info("answered {} {} {} {} {}", kv("playback", session.id()), kv("outcome", outcome),
+            kv("title", session.ask().title()), kv("tries", session.playback.tries.size()), kv("ms", took / 1_000_000));
+        List<Answer> all = List.copyOf(session.waiting);
+        session.waiting.clear();
+        after.add(() -> all.forEach(how));
+    }
+
+    @Override
+    public void setRung(Playback pb, int rung) {
+        Session session = sessions.get(pb.id);
+        if (session != null && pb.onHost()) {
+            client.setRung(addresses.get(pb.lastTry().host.id), Session.name(pb), rung);
+            events.rungStep(rung);
+        }
+    }
+
+    @Override
+    public void reject(Playback pb, long comeBackIn) {
+        unserved(pb, Session.End.REJECTED, "rejected", a -> a.rejected(comeBackIn));
+    }
+
+    @Override
+    public void fail(Playback pb) {
+        unserved(pb, Session.End.FAILED, "failed", Answer::failed);
+    }
+
+    private void unserved(Playback pb, Session.End end, String outcome, Consumer<Answer> how) {
+        Session session = sessions.get(pb.id);
+        if (session != null) {
+            session.state = Session.State.ENDED;
+            session.end = end;
+            drop(session);
+            answer(session, outcome, how);
+        }
+    }
+
+    @Override
+    public void withdraw(SetupTry setupTry) {
+        HostClient.Call call = calls.get(setupTry);
+        if (call != null) {
+            call.withdraw();
+        }
+    }
+
+    @Override
+    public void move(Playback pb) {
+        Session session = sessions.get(pb.id);
+        if (session != null && session.state == Session.State.PLAYING) {
+            after.add(() -> {
+                client.release(session.host, session.hostSession());
+                ended(session, Session.End.MOVED, Verdict.WITHDRAWN);
+            });
+        }
+    }
+
+    @Override
+    public void probe(MediaHost host) {
+        client.probe(addresses.get(host.id), (verdict, report) ->
+            input(() -> control.probed(host, verdict, report.link(), report.uplink())));
+    }
+
+    @Override
+    public void release(MediaHost host) {
+        client.freeLinks(addresses.get(host.id));
+    }
+
+    @Override
+    public void wakeAt(long time) {
+        if (wake != null) {
+            wake.cancel();
+        }
+        wakeTime = time;
+        wake = loop.executeAfter(() -> {
+            wake = null;
+            if (clock.now() < wakeTime) {
+                wakeAt(wakeTime);
+            } else {
+                input(() -> { });
+            }
+        }, time - now());
+    }
+
+    @Override
+    public void tell(int gateway, byte[] data) {
+        throw new UnsupportedOperationException("gateways share nothing here, and no rule of Control tells");
+    }
+
+    @Override
+    public void followList(boolean on) {
+        follower.follow(on);
+    }
+
+    @Override
+    public void fetchList() {
+        follower.fetch();
+    }
+
+    @Override
+    public void log(String line) {
+        LOG.info(line);
+    }
+
+    private long now;
+
+    private long now() {
+        return deciding ? now : clock.now();
+    }
+
+    /**
+     * One input of Control and the rules after it. Answers go out when the rules are done, as a front may hand in
+     * the next request at once. A failure of the decisions closes this gateway: it never half-serves.
+     */
+    private void input(Runnable what) {
+        inputs.add(what);
+        if (deciding || closed) {
+            return;
+        }
+        while (!inputs.isEmpty() && !closed) {
+            deciding = true;
+            try {
+                now = clock.now();
+                control.at(now);
+                inputs.poll().run();
+                control.settle();
+            } catch (RuntimeException | StackOverflowError e) {
+                failed(e);
+            } finally {
+                deciding = false;
+            }
+        }
+        while (!after.isEmpty() && !deciding) {
+            after.poll().run();
+        }
+    }
+
+    private void failed(Throwable cause) {
+        closed = true;
+        LOG.error("decisions failed; this gateway closes", cause);
+        for (Session session : List.copyOf(sessions.values())) {
+            if (session.state == Session.State.PLAYING) {
+                client.release(session.host, session.hostSession());
+            }
+            session.state = Session.State.ENDED;
+            session.end = Session.End.FAILED;
+            answer(session, "failed", Answer::failed);
+            drop(session);
+        }
+        calls.values().forEach(HostClient.Call::withdraw);
+        after.add(() -> onFailure.accept(cause));
+    }
+
+    private void sweepLater(long due) {
+        loop.executeAfter(() -> {
+            if (closed) {
+                return;
+            }
+            long at = clock.now();
+            events.loopDelay(Math.max(0, at - due - SWEEP));
+            List.copyOf(sessions.values()).stream().filter(s -> s.state == Session.State.PLAYING
+                && Silence.gone(s.lastSeen, at, service.segment())).forEach(s -> over(s, Session.End.SILENT));
+            sweepLater(clock.now());
+        }, SWEEP);
+    }
+}
