--- a/src/main/java/cypressvalve/Main.java
+++ b/src/main/java/cypressvalve/Main.java
@@ -1,15 +1,21 @@
 package cypressvalve;
 
 import cypressvalve.adapter.Adapter;
+import cypressvalve.cli.Commands;
 import java.io.IOException;
 
-/** The program's entry: one subcommand so far. */
+/** The program's entry. The adapter is kept apart: it loads nothing of the command line and its libraries. */
 public final class Main {
+    private Main() {
+    }
+
     public static void main(String[] args) throws IOException {
-        if (args.length != 1 || !args[0].equals("adapter")) {
-            System.err.println("usage: java -jar cypressvalve.jar adapter");
-            System.exit(2);
+        if (args.length == 1 && args[0].equals("adapter")) {
+            System.exit(Adapter.run(System.in, System.out, System.err));
+        }
+        int code = Commands.run(args);
+        if (code >= 0) {
+            System.exit(code);
         }
-        System.exit(Adapter.run(System.in, System.out, System.err));
     }
 }
--- a/src/main/java/cypressvalve/config/Doc.java
+++ b/src/main/java/cypressvalve/config/Doc.java
@@ -215,22 +215,22 @@
 
         /** A whole number within bounds that must be there. */
         public long whole(String key, long least, long most) {
-            return scalar(key, least, true, wholeWords(least, most), s -> whole(s, least, most));
+            return scalar(key, least, true, wholeWords(least, most), s -> wholeIn(s, least, most));
         }
 
         /** A whole number within bounds that may be left out. */
         public long whole(String key, long least, long most, long otherwise) {
-            return scalar(key, otherwise, false, wholeWords(least, most), s -> whole(s, least, most));
+            return scalar(key, otherwise, false, wholeWords(least, most), s -> wholeIn(s, least, most));
         }
 
         /** A number within bounds that must be there. */
         public double real(String key, double least, double most) {
-            return scalar(key, least, true, realWords(least, most), s -> real(s, least, most));
+            return scalar(key, least, true, realWords(least, most), s -> realIn(s, least, most));
         }
 
         /** A number within bounds that may be left out. */
         public double real(String key, double least, double most, double otherwise) {
-            return scalar(key, otherwise, false, realWords(least, most), s -> real(s, least, most));
+            return scalar(key, otherwise, false, realWords(least, most), s -> realIn(s, least, most));
         }
 
         /** A flag, true or false. */
@@ -241,12 +241,12 @@
 
         /** A time such as 500ms, in nanoseconds, that must be there. */
         public long time(String key) {
-            return scalar(key, 0L, true, "a time such as 500ms or 2s", Doc::time);
+            return scalar(key, 0L, true, "a time such as 500ms or 2s", Doc::nanos);
         }
 
         /** A time in nanoseconds that may be left out. */
         public long time(String key, long otherwise) {
-            return scalar(key, otherwise, false, "a time such as 500ms or 2s", Doc::time);
+            return scalar(key, otherwise, false, "a time such as 500ms or 2s", Doc::nanos);
         }
 
         /** Numbers within bounds, one at least. */
@@ -260,7 +260,7 @@
             double[] values = new double[at.items.size()];
             for (int i = 0; i < values.length; i++) {
                 values[i] = value(at.items.get(i), field(key) + "[" + i + "]", least, realWords(least, most),
-                    s -> real(s, least, most));
+                    s -> realIn(s, least, most));
             }
             return values;
         }
@@ -352,18 +352,18 @@
             : "a number from " + least + " to " + most;
     }
 
-    private static Long whole(String s, long least, long most) {
+    private static Long wholeIn(String s, long least, long most) {
         long value = Long.parseLong(s);
         return value < least || value > most ? null : Long.valueOf(value);
     }
 
-    private static Double real(String s, double least, double most) {
+    private static Double realIn(String s, double least, double most) {
         double value = Double.parseDouble(s);
         return value >= least && value <= most ? Double.valueOf(value) : null;
     }
 
     /** Nanoseconds of a text such as 1.5s, or null. */
-    private static Long time(String s) {
+    private static Long nanos(String s) {
         Matcher m = TIME.matcher(s);
         if (!m.matches()) {
             return null;
--- a/src/main/java/cypressvalve/config/Service.java
+++ b/src/main/java/cypressvalve/config/Service.java
@@ -10,11 +10,11 @@
 
 /**
  * What the whole service agrees on, gateways and media hosts alike: plans, ladder, titles, the fleet's shape, the
- * rules in figures. Times are nanoseconds, rates kB (1,000 bytes) a second.
+ * rules in figures; peak is what a segment's rate may be over its rung's. Times are nanoseconds, rates kB (1,000 bytes) a second.
  */
 public record Service(long segment, int window, double[] ladder, double[] revenue, double joinShare,
     Map<String, PlanRow> plans, Map<String, Double> tenants, Map<String, TitleRow> titles, Fleet fleet, Rules rules,
-    Reports reports, int tries, double worstPlanWeight) {
+    Reports reports, int tries, double worstPlanWeight, double peak) {
 
     /** One plan. Its rates are the ladder's times factor; abandon bounds how long a viewer may ask to wait. */
     public record PlanRow(String name, Plan.Effect effect, long startup, long abandon, double revenue, boolean live,
@@ -86,7 +86,14 @@
         }
         return new Service(segment, (int) s.whole("window", 3, 60, 6), ladder, revenue, s.real("join", 0, 1, 1),
             plans, tenants, titles, fleet, rules(s.optional("rules")), reports(s.optional("reports")),
-            (int) s.whole("tries", 1, 100, 3), s.real("worst-plan-weight", 0, 1, 0));
+            (int) s.whole("tries", 1, 100, 3), s.real("worst-plan-weight", 0, 1, 0),
+            s.real("peak", 1, 10, 1.25));
+    }
+
+    /** The same service with other titles. */
+    public Service withTitles(Map<String, TitleRow> others) {
+        return new Service(segment, window, ladder, revenue, joinShare, plans, tenants, others, fleet, rules, reports,
+            tries, worstPlanWeight, peak);
     }
 
     private static PlanRow plan(Doc.Section p, int rungs) {
--- a/src/main/java/cypressvalve/host/HttpHostClient.java
+++ b/src/main/java/cypressvalve/host/HttpHostClient.java
@@ -195,11 +195,13 @@
                         @Override
                         public void closed() {
                             IoUtils.safeClose(answered.getConnection());
-                            thread.execute(() -> {
-                                if (!over) {
-                                    connect(true);
-                                }
-                            });
+                            if (!over) {
+                                thread.execute(() -> {
+                                    if (!over) {
+                                        connect(true);
+                                    }
+                                });
+                            }
                         }
                     });
                 }
--- a/src/main/java/cypressvalve/net/HttpCaller.java
+++ b/src/main/java/cypressvalve/net/HttpCaller.java
@@ -91,7 +91,9 @@
             if (exchange == null) {
                 IoUtils.safeClose(connection);
             }
-            thread.execute(() -> result.done(outcome, exchange));
+            if (!closed) {
+                thread.execute(() -> result.done(outcome, exchange));
+            }
         }
     }
 
@@ -257,7 +259,7 @@
         }
     }
 
-    /** Closes all that is idle; calls from now on are never sent. */
+    /** Closes all that is idle; calls from now on are never sent, and no result is told any more. */
     public void close() {
         closed = true;
         idle.values().forEach(kept -> kept.forEach(IoUtils::safeClose));
--- /dev/null
+++ b/src/main/java/cypressvalve/rehearsal/Rehearsal.java
@@ -0,0 +1,97 @@
+package cypressvalve.rehearsal;
+
+import cypressvalve.judge.Finding;
+import cypressvalve.judge.Judge;
+import cypressvalve.standin.Player;
+import cypressvalve.tape.Tape;
+import cypressvalve.trouble.Crowd;
+import cypressvalve.trouble.DayScript;
+import java.io.IOException;
+import java.net.http.HttpClient;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+
+/** A day played in real time on loopback, and what came of it. */
+public final class Rehearsal {
+    private static final long SECOND = 1_000_000_000L;
+
+    private final DayScript day;
+    private final Tape tape;
+    private final Judge judge = new Judge();
+    private final Summary summary = new Summary();
+
+    public Rehearsal(DayScript day, Tape tape) {
+        this.day = day;
+        this.tape = tape;
+        tape.also(judge::accept);
+        tape.also(summary::accept);
+    }
+
+    /**
+     * Plays the day to its end and a little longer, until every request has had its time.
+     *
+     * @param progress told each second, with the seconds played so far
+     * @return findings by rule; empty lists where the rule was kept
+     */
+    public Map<Integer, List<Finding>> play(Consumer<String> progress) throws IOException, InterruptedException {
+        ScheduledExecutorService timers = Executors.newSingleThreadScheduledExecutor(daemon("players"));
+        ScheduledExecutorService troubles = Executors.newSingleThreadScheduledExecutor(daemon("troubles"));
+        var callbacks = Executors.newFixedThreadPool(2, daemon("player-http"));
+        try (Stage stage = new Stage(day, tape)) {
+            stage.startGateways();
+            HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).executor(callbacks)
+                .connectTimeout(Duration.ofSeconds(1)).followRedirects(HttpClient.Redirect.NEVER).build();
+            RandomGenerator chance = RandomGeneratorFactory.of("L64X128MixRandom").create(day.seed());
+            DayScript.Viewers v = day.viewers();
+            Player.World world = new Player.World(http, timers, tape, () -> {
+                synchronized (chance) {
+                    return chance.nextInt(day.gateways().count());
+                }
+            }, stage::gatewayUri, chance, new Player.Habits(v.returns(), v.comeLeast(), v.comeMost(), v.honour(),
+                v.buffer(), v.starve(), v.silent(), v.retries()), day.service().segment());
+            long began = System.nanoTime();
+            tape.put("rehearsal", "begins");
+            new TroublePlayer(stage, troubles).play();
+            Crowd.of(day).forEach(c -> timers.schedule(() -> new Player(world, c.viewer()).start(),
+                c.at() - (System.nanoTime() - began), TimeUnit.NANOSECONDS));
+            long longest = day.service().plans().values().stream().mapToLong(p -> p.abandon()).max().orElse(0);
+            long end = day.length() + longest + SECOND;
+            for (long s = 1; s * SECOND < end; s++) {
+                TimeUnit.NANOSECONDS.sleep(Math.max(0, began + s * SECOND - System.nanoTime()));
+                progress.accept(String.format("%3d of %d s  viewers %d  startup met %.3f  delivered %.3f", s,
+                    end / SECOND, summary.viewers(), summary.startupMet(), summary.deliveredShare()));
+            }
+            timers.shutdownNow();
+            troubles.shutdownNow();
+            tape.put("rehearsal", "ends");
+            if (stage.failure() != null) {
+                throw new IllegalStateException("a gateway's decisions failed", stage.failure());
+            }
+        } finally {
+            timers.shutdownNow();
+            troubles.shutdownNow();
+            callbacks.shutdownNow();
+        }
+        return judge.finish();
+    }
+
+    /** What the day came to. */
+    public Summary summary() {
+        return summary;
+    }
+
+    private static java.util.concurrent.ThreadFactory daemon(String name) {
+        return task -> {
+            Thread thread = new Thread(task, name);
+            thread.setDaemon(true);
+            return thread;
+        };
+    }
+}
--- a/src/main/java/cypressvalve/session/SessionCore.java
+++ b/src/main/java/cypressvalve/session/SessionCore.java
@@ -6,6 +6,7 @@
 import cypressvalve.Gateway;
 import cypressvalve.config.Service;
 import cypressvalve.fleet.ListEntry;
+import cypressvalve.fleet.ListFollower;
 import cypressvalve.host.HostAddress;
 import cypressvalve.host.HostClient;
 import cypressvalve.host.LoadReport;
@@ -64,13 +65,7 @@
     private Runnable whenEmpty;
     private Loop.Cancel wake;
     private long wakeTime;
-
-    /** Asks for the list where Control wants it; sources that push do nothing. */
-    public interface ListFollower {
-        void follow(boolean on);
-
-        void fetch();
-    }
+    private Loop.Cancel sweep;
 
     /**
      * @param settings this gateway's own, made by {@link Service#control}
@@ -543,8 +538,19 @@
         after.add(() -> onFailure.accept(cause));
     }
 
+    /** Stops at once, with no word to anybody: what a killed process would do. */
+    public void close() {
+        closed = true;
+        if (wake != null) {
+            wake.cancel();
+        }
+        if (sweep != null) {
+            sweep.cancel();
+        }
+    }
+
     private void sweepLater(long due) {
-        loop.executeAfter(() -> {
+        sweep = loop.executeAfter(() -> {
             if (closed) {
                 return;
             }
--- /dev/null
+++ b/src/main/java/cypressvalve/standin/Player.java
@@ -0,0 +1,295 @@
+package cypressvalve.standin;
+
+import cypressvalve.tape.Tape;
+import java.net.ConnectException;
+import java.net.URI;
+import java.net.URLEncoder;
+import java.net.http.HttpClient;
+import java.net.http.HttpConnectTimeoutException;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.IntSupplier;
+import java.util.random.RandomGenerator;
+
+/**
+ * A viewer's player: asks a gateway for a playlist of its own, fetches segments no faster than it plays, leaves when
+ * it has seen enough or is starved, and comes again as people do. Its HTTP is the JDK's, not the gateway's library.
+ */
+public final class Player {
+    private static final long SECOND = 1_000_000_000L;
+
+    /** What all players share. */
+    public record World(HttpClient http, ScheduledExecutorService timers, Tape tape, IntSupplier gateway,
+        java.util.function.IntFunction<String> gatewayUri, RandomGenerator chance, Habits habits, long segment) { }
+
+    /**
+     * How viewers behave; times in nanoseconds.
+     *
+     * @param returns share of those who come again after a break or a rejection
+     * @param honour share of those who heed a time to come back
+     * @param buffer seconds of content that a player keeps ahead
+     * @param starve time without a new segment, beyond the buffer, after which a viewer leaves
+     * @param silent share of viewers who leave without a word
+     */
+    public record Habits(double returns, long comeLeast, long comeMost, double honour, double buffer, long starve,
+        double silent, int retries) { }
+
+    /** One viewer: what it wants, for how long. The hint is seconds, 0 for none. */
+    public record Viewer(String name, String title, String plan, String tenant, int screen, boolean live, long length,
+        long hint, long abandon) { }
+
+    private final World world;
+    private final Viewer viewer;
+    private final String sid = UUID.randomUUID().toString();
+    private final long until;
+    private int asks;
+    private int lives;
+    private long nextSegment = -1;
+    private long liveEdge;
+    private double watched;
+    private String base;
+    private String media;
+    private long playBegan;
+    /** When what was fetched has all been played; 0 before the first segment. */
+    private long runsOut;
+    private boolean over;
+    private List<String> segments = List.of();
+
+    public Player(World world, Viewer viewer) {
+        this.world = world;
+        this.viewer = viewer;
+        until = System.nanoTime() + viewer.length() + viewer.abandon();
+    }
+
+    /** Begins to ask; everything after runs on the world's timers. */
+    public void start() {
+        world.timers().execute(() -> ask(false));
+    }
+
+    private void put(String kind, Object... fields) {
+        Object[] all = new Object[fields.length + 2];
+        all[0] = "viewer";
+        all[1] = viewer.name();
+        System.arraycopy(fields, 0, all, 2, fields.length);
+        world.tape().put("player", kind, all);
+    }
+
+    private static String encoded(String text) {
+        return URLEncoder.encode(text, StandardCharsets.UTF_8);
+    }
+
+    private void ask(boolean again) {
+        if (over || System.nanoTime() > until) {
+            return;
+        }
+        int gateway = world.gateway().getAsInt();
+        String id = viewer.name() + "#" + asks++;
+        String uri = world.gatewayUri().apply(gateway);
+        long began = System.nanoTime();
+        put("ask", "ask", id, "gateway", gateway, "title", viewer.title(), "plan", viewer.plan(), "tenant",
+            viewer.tenant(), "sid", sid + "-" + lives, "abandon", viewer.abandon(), "again", again);
+        if (uri == null) {
+            put("unreached", "ask", id);
+            comeAgain(-1);
+            return;
+        }
+        HttpRequest request = HttpRequest.newBuilder(URI.create(uri + "/play/" + viewer.title() + "/main.m3u8?plan="
+                + encoded(viewer.plan()) + "&tenant=" + encoded(viewer.tenant()) + "&screen=" + viewer.screen()
+                + (viewer.hint() > 0 ? "&hint=" + viewer.hint() : "")))
+            .header("Prefer", "wait=" + viewer.abandon() / SECOND)
+            .header("CMCD-Session", "sid=\"" + sid + "-" + lives + "\"")
+            .timeout(Duration.ofNanos(viewer.abandon() + SECOND / 2)).build();
+        world.http().sendAsync(request, HttpResponse.BodyHandlers.ofString())
+            .whenCompleteAsync((response, failure) -> {
+                long took = System.nanoTime() - began;
+                if (failure != null) {
+                    boolean reached = !(cause(failure) instanceof ConnectException
+                        || cause(failure) instanceof HttpConnectTimeoutException);
+                    put(reached ? "no-answer" : "unreached", "ask", id, "why", String.valueOf(cause(failure)));
+                    comeAgain(-1);
+                    return;
+                }
+                put("answer", "ask", id, "status", response.statusCode(), "took", took);
+                if (response.statusCode() == 200) {
+                    put("manifest", "uri", request.uri().toString(), "text", response.body());
+                    playing(uri, response.body());
+                } else {
+                    comeAgain(response.headers().firstValueAsLong("Retry-After").orElse(-1));
+                }
+            }, world.timers());
+    }
+
+    private static Throwable cause(Throwable failure) {
+        return failure instanceof CompletionException && failure.getCause() != null ? failure.getCause() : failure;
+    }
+
+    /** Most come again after a break or a rejection; some heed the time that they were given. */
+    private void comeAgain(long retryAfter) {
+        lives++;
+        Habits habits = world.habits();
+        if (over || asks > habits.retries() || world.chance().nextDouble() >= habits.returns()) {
+            put("stays-away");
+            over = true;
+            return;
+        }
+        long wait = habits.comeLeast()
+            + (long) (world.chance().nextDouble() * (habits.comeMost() - habits.comeLeast()));
+        if (retryAfter > 0 && world.chance().nextDouble() < habits.honour()) {
+            wait = Math.max(wait, retryAfter * SECOND);
+        }
+        world.timers().schedule(() -> ask(true), wait, TimeUnit.NANOSECONDS);
+    }
+
+    private void playing(String uri, String master) {
+        base = uri;
+        String variant = lines(master).stream().findFirst().orElse(null);
+        if (variant == null) {
+            put("bad-manifest");
+            comeAgain(-1);
+            return;
+        }
+        media = URI.create(base).resolve(variant).toString();
+        playBegan = System.nanoTime();
+        runsOut = 0;
+        nextSegment = -1;
+        refresh();
+    }
+
+    private static List<String> lines(String playlist) {
+        return playlist.lines().filter(l -> !l.isBlank() && !l.startsWith("#")).toList();
+    }
+
+    private CompletableFuture<HttpResponse<String>> get(String uri) {
+        return world.http().sendAsync(HttpRequest.newBuilder(URI.create(uri))
+            .timeout(Duration.ofNanos(world.habits().starve())).build(), HttpResponse.BodyHandlers.ofString());
+    }
+
+    private void refresh() {
+        get(media).whenCompleteAsync((response, failure) -> {
+            if (over) {
+                return;
+            }
+            if (failure != null || response.statusCode() != 200) {
+                broken(failure != null ? "gateway" : "status-" + response.statusCode());
+                return;
+            }
+            put("manifest", "uri", media, "text", response.body());
+            long first = response.body().lines().filter(l -> l.startsWith("#EXT-X-MEDIA-SEQUENCE:"))
+                .mapToLong(l -> Long.parseLong(l.substring(l.indexOf(':') + 1).trim())).findFirst().orElse(0);
+            segments = new ArrayList<>(lines(response.body()));
+            liveEdge = first;
+            if (nextSegment < 0) {
+                // A live player starts three segments behind the newest (RFC 8216, section 6.3.3).
+                nextSegment = viewer.live() ? first + Math.max(0, segments.size() - 3) : first;
+            }
+            nextSegment = Math.max(nextSegment, first);
+            fetch();
+        }, world.timers());
+    }
+
+    private void fetch() {
+        if (over) {
+            return;
+        }
+        double played = (System.nanoTime() - playBegan) / (double) SECOND;
+        double want = viewer.length() / (double) SECOND;
+        if (played >= want || watched >= want) {
+            leave();
+            return;
+        }
+        long index = nextSegment - liveEdge;
+        if (index >= segments.size()) {
+            if (viewer.live()) {
+                world.timers().schedule(this::refresh, world.segment() / 2, TimeUnit.NANOSECONDS);
+            } else {
+                leave();
+            }
+            return;
+        }
+        if (runsOut > 0 && runsOut - System.nanoTime() > world.habits().buffer() * SECOND) {
+            world.timers().schedule(this::fetch, world.segment() / 4, TimeUnit.NANOSECONDS);
+            return;
+        }
+        String uri = URI.create(media).resolve(segments.get((int) index)).toString();
+        long began = System.nanoTime();
+        HttpRequest request = HttpRequest.newBuilder(URI.create(uri))
+            .timeout(Duration.ofNanos(world.habits().starve())).build();
+        world.http().sendAsync(request, HttpResponse.BodyHandlers.discarding())
+            .whenCompleteAsync((response, failure) -> {
+                if (failure != null || response.statusCode() != 302) {
+                    broken(failure != null ? "gateway" : "status-" + response.statusCode());
+                    return;
+                }
+                bytes(response.headers().firstValue("Location").orElse(""), began);
+            }, world.timers());
+    }
+
+    private void bytes(String location, long began) {
+        AtomicLong count = new AtomicLong();
+        HttpRequest request = HttpRequest.newBuilder(URI.create(location)).build();
+        CompletableFuture<HttpResponse<Void>> transfer = world.http().sendAsync(request,
+            HttpResponse.BodyHandlers.ofByteArrayConsumer(b -> b.ifPresent(x -> count.addAndGet(x.length))));
+        // A viewer does not wait for one segment for ever: the buffer, and then its patience.
+        var starved = world.timers().schedule(() -> transfer.cancel(true),
+            world.habits().starve() + (long) (world.habits().buffer() * SECOND), TimeUnit.NANOSECONDS);
+        transfer.whenCompleteAsync((response, failure) -> {
+            starved.cancel(false);
+            if (over) {
+                return;
+            }
+            String rung = location.split("/").length > 5 ? location.split("/")[5] : "";
+            if (failure != null || response.statusCode() != 200) {
+                broken(failure != null ? "media" : "media-status-" + response.statusCode());
+                return;
+            }
+            long now = System.nanoTime();
+            long late = runsOut == 0 ? 0 : Math.max(0, now - runsOut);
+            runsOut = Math.max(now, runsOut) + world.segment();
+            put("segment", "from", location.substring(0, location.indexOf("/media")), "rung", rung,
+                "bytes", count.get(), "took", now - began, "late", late);
+            watched += world.segment() / (double) SECOND;
+            nextSegment++;
+            fetch();
+        }, world.timers());
+    }
+
+    private void broken(String why) {
+        if (!over) {
+            put("broken", "why", why);
+            long left = until - viewer.abandon() - System.nanoTime();
+            if (left <= 0) {
+                over = true;
+                return;
+            }
+            end();
+            comeAgain(-1);
+        }
+    }
+
+    private void leave() {
+        over = true;
+        put("seen");
+        if (world.chance().nextDouble() >= world.habits().silent()) {
+            end();
+        }
+    }
+
+    private void end() {
+        if (media != null) {
+            HttpRequest request = HttpRequest.newBuilder(URI.create(media)).DELETE()
+                .timeout(Duration.ofSeconds(2)).build();
+            world.http().sendAsync(request, HttpResponse.BodyHandlers.discarding());
+            media = null;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cypressvalve/tape/Tape.java
@@ -0,0 +1,99 @@
+package cypressvalve.tape;
+
+import com.fasterxml.jackson.core.JsonEncoding;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/**
+ * What the sockets of players, media hosts and the list service carried, one JSON object a line; docs/rehearsal.md
+ * lists the records. Any thread may write. Times are nanoseconds since 1970 by a clock that only advances.
+ */
+public final class Tape implements Closeable {
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final long offset;
+    private final JsonGenerator out;
+    private final List<Consumer<TapeRecord>> readers = new ArrayList<>();
+
+    /** @param to the file's stream, or null for a tape that only its readers hear */
+    private Tape(OutputStream to) throws IOException {
+        Instant wall = Instant.now();
+        offset = wall.getEpochSecond() * 1_000_000_000L + wall.getNano() - System.nanoTime();
+        out = to == null ? null : JSON.getFactory().createGenerator(to, JsonEncoding.UTF8).setRootValueSeparator(null);
+    }
+
+    /** A tape in a file, which is replaced. */
+    public static Tape file(Path path) throws IOException {
+        return new Tape(new java.io.BufferedOutputStream(Files.newOutputStream(path), 1 << 16));
+    }
+
+    /** A tape that is not kept. */
+    public static Tape heard() {
+        try {
+            return new Tape(null);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Hands each record from now on to the reader too, one at a time. */
+    public synchronized void also(Consumer<TapeRecord> reader) {
+        readers.add(reader);
+    }
+
+    /** The time now. */
+    public long now() {
+        return System.nanoTime() + offset;
+    }
+
+    /**
+     * Writes a record at the time now.
+     *
+     * @param by whose socket or deed it was, such as player, host, list, gateway, fault
+     * @param fields names and values in turn
+     */
+    public void put(String by, String kind, Object... fields) {
+        Map<String, Object> values = new java.util.LinkedHashMap<>();
+        for (int i = 0; i < fields.length; i += 2) {
+            values.put((String) fields[i], fields[i + 1]);
+        }
+        synchronized (this) {
+            TapeRecord record = new TapeRecord(now(), by, kind, values);
+            readers.forEach(r -> r.accept(record));
+            if (out == null) {
+                return;
+            }
+            try {
+                out.writeStartObject();
+                out.writeNumberField("t", record.t());
+                out.writeStringField("by", by);
+                out.writeStringField("kind", kind);
+                for (Map.Entry<String, Object> field : values.entrySet()) {
+                    out.writePOJOField(field.getKey(), field.getValue());
+                }
+                out.writeEndObject();
+                out.writeRaw('\n');
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }
+    }
+
+    @Override
+    public synchronized void close() throws IOException {
+        if (out != null) {
+            out.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cypressvalve/trouble/DayScript.java
@@ -0,0 +1,146 @@
+package cypressvalve.trouble;
+
+import cypressvalve.config.Doc;
+import cypressvalve.config.Service;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+
+/**
+ * A day to rehearse: the service, the fleet as it truly is, viewers, gateways and what goes wrong. Times are
+ * nanoseconds, rates kB a second. The same script and seed give the same arrivals and the same struck hosts.
+ */
+public record DayScript(String name, long seed, long length, Service service, Hosts hosts, Titles titles,
+    Viewers viewers, Gateways gateways, List<Trouble> troubles) {
+
+    /**
+     * The media hosts as they are.
+     *
+     * @param count at the start; one cell each, cells beyond are empty
+     * @param link true mean link, and its spread as a part
+     * @param uplink mean uplink of a rack, and its spread
+     * @param work mean time of a core for a set-up
+     * @param notice how late the list tells that one is gone, add that one has started
+     */
+    public record Hosts(int count, double link, double linkSpread, double uplink, double uplinkSpread, int cores,
+        int queue, long work, double vary, long lease, double noise, long notice, long add) { }
+
+    /** How many titles, how many copies of each, and how unevenly they are wanted (the exponent of rank). */
+    public record Titles(int recorded, int live, int copies, double zipf, long length) { }
+
+    /**
+     * The viewers.
+     *
+     * @param rate first tries a second
+     * @param atStart viewers that come in the first two seconds beside those
+     * @param length mean time that one watches; each plan has a share of them
+     */
+    public record Viewers(double rate, int atStart, long length, Map<String, Double> shares, double smallScreens,
+        double returns, long comeLeast, long comeMost, double honour, double silent, int retries, double buffer,
+        long starve) { }
+
+    /** How many gateways, and how long after a restart their viewers find them. */
+    public record Gateways(int count) { }
+
+    /** Reads a day's script whole; faults go to the file's list. */
+    public static DayScript read(Doc doc) {
+        Doc.Section root = doc.root();
+        Doc.Section d = root.section("day");
+        Service service = Service.read(root.section("service"));
+        Doc.Section t = root.section("titles");
+        Titles titles = new Titles((int) t.whole("recorded", 0, 10_000), (int) t.whole("live", 0, 10_000, 0),
+            (int) t.whole("copies", 1, service.fleet().cells(), Math.min(3, service.fleet().cells())),
+            t.real("zipf", 0, 3, 0.8), t.time("length", 60_000_000_000L));
+        Viewers viewers = viewers(root.section("viewers"), service);
+        long seed = d.whole("seed", 0, Long.MAX_VALUE, 1);
+        long length = d.time("length");
+        List<Trouble> troubles = new ArrayList<>();
+        for (Doc.Section s : root.sections("troubles")) {
+            Trouble trouble = trouble(s);
+            if (trouble.at() >= length) {
+                s.wrong("at", "a time before the day's end");
+            }
+            troubles.add(trouble);
+        }
+        if (service.titles().isEmpty() && titles.recorded + titles.live == 0) {
+            t.wrong("recorded", "one title at least");
+        }
+        boolean needsLive = service.plans().values().stream().anyMatch(Service.PlanRow::live);
+        boolean needsRecorded = service.plans().values().stream().anyMatch(p -> !p.live());
+        if (needsLive && titles.live == 0) {
+            t.wrong("live", "one title at least, as a plan is live");
+        }
+        if (needsRecorded && titles.recorded == 0) {
+            t.wrong("recorded", "one title at least, as a plan is not live");
+        }
+        return new DayScript(d.text("name", "day"), seed, length,
+            service.withTitles(titles(titles, service.fleet().cells(), seed)), hosts(root.section("hosts"), service),
+            titles, viewers, new Gateways((int) root.optional("gateways").whole("count", 1, 64, 1)), troubles);
+    }
+
+    private static Hosts hosts(Doc.Section h, Service service) {
+        Service.Fleet fleet = service.fleet();
+        return new Hosts((int) h.whole("count", 1, fleet.cells(), fleet.cells()),
+            h.real("link", 0.001, 1e12, fleet.linkPerWeight()), h.real("link-spread", 0, 0.9, 0.1),
+            h.real("uplink", 0, 1e12, fleet.uplink()), h.real("uplink-spread", 0, 0.9, 0.1),
+            (int) h.whole("cores", 1, 1024, 2), (int) h.whole("queue", 0, 100_000, 20), h.time("work", 20_000_000L),
+            h.real("vary", 0, 0.6, 0.1), h.time("lease", 12_000_000_000L), h.real("noise", 0, 1, 0.05),
+            h.time("notice", 1_500_000_000L), h.time("add", 800_000_000L));
+    }
+
+    private static Viewers viewers(Doc.Section v, Service service) {
+        Map<String, Double> shares = new LinkedHashMap<>();
+        Doc.Section s = v.section("plans");
+        for (String plan : s.keys()) {
+            if (service.plans().containsKey(plan)) {
+                shares.put(plan, s.real(plan, 0, 1));
+            } else {
+                s.wrong(plan, "a plan of the service");
+            }
+        }
+        if (shares.values().stream().mapToDouble(Double::doubleValue).sum() <= 0) {
+            v.wrong("plans", "a share over 0 for one plan at least");
+        }
+        Viewers viewers = new Viewers(v.real("rate", 0, 100_000), (int) v.whole("at-start", 0, 1_000_000, 0),
+            v.time("length"), shares, v.real("small-screens", 0, 1, 0.25), v.real("returns", 0, 1, 0.9),
+            v.time("come-least", 500_000_000L), v.time("come-most", 3_000_000_000L), v.real("honour", 0, 1, 0.7),
+            v.real("silent", 0, 1, 0.1), (int) v.whole("retries", 0, 1000, 5), v.real("buffer", 0, 120, 3),
+            v.time("starve", 4_000_000_000L));
+        if (viewers.comeMost < viewers.comeLeast) {
+            v.wrong("come-most", "a time not under come-least");
+        }
+        return viewers;
+    }
+
+    private static Trouble trouble(Doc.Section s) {
+        Trouble.Kind kind = s.choice("kind", Trouble.Kind.class, null);
+        Trouble trouble = new Trouble(kind == null ? Trouble.Kind.CRASH : kind, s.time("at"), s.time("length"),
+            s.real("part", 0, 1, 0.2), s.real("size", 0, 1000, 1), s.real("extra", 0, 1000, 1));
+        boolean wrong = switch (trouble.kind()) {
+            case FAST_ERRORS, NEIGHBOUR, HOT_KEY -> trouble.size() > 1;
+            case SLOW, ORIGIN_SLOW, BURST -> trouble.size() < 1;
+            default -> false;
+        };
+        if (wrong) {
+            s.wrong("size", switch (trouble.kind()) {
+                case FAST_ERRORS, NEIGHBOUR, HOT_KEY -> "a share from 0 to 1";
+                default -> "a multiple of 1 or more";
+            });
+        }
+        return trouble;
+    }
+
+    private static Map<String, Service.TitleRow> titles(Titles t, int cells, long seed) {
+        Random chance = new Random(seed * 31 + 7);
+        Map<String, Service.TitleRow> rows = new LinkedHashMap<>();
+        for (int i = 0; i < t.recorded; i++) {
+            rows.put("r" + i, new Service.TitleRow("r" + i, false, t.length, chance.nextInt(cells), t.copies));
+        }
+        for (int i = 0; i < t.live; i++) {
+            rows.put("l" + i, new Service.TitleRow("l" + i, true, 0, chance.nextInt(cells), t.copies));
+        }
+        return rows;
+    }
+}
