--- a/src/main/java/cypressvalve/run/GatewayNode.java
+++ b/src/main/java/cypressvalve/run/GatewayNode.java
@@ -33,6 +33,7 @@
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -59,6 +60,7 @@
     private final GatewayMetrics metrics;
     private final Undertow server;
     private final CountDownLatch listed = new CountDownLatch(1);
+    private final AtomicBoolean killed = new AtomicBoolean();
 
     /**
      * Makes a gateway that does not listen yet.
@@ -217,8 +219,11 @@
         kill();
     }
 
-    /** Stops at once, with no word to anybody. */
+    /** Stops at once, with no word to anybody; a second call does nothing. */
     public void kill() {
+        if (!killed.compareAndSet(false, true)) {
+            return;
+        }
         server.stop();
         CountDownLatch shut = new CountDownLatch(1);
         thread.execute(() -> {
