--- a/src/main/java/cypressvalve/Main.java
+++ b/src/main/java/cypressvalve/Main.java
@@ -13,7 +13,7 @@
         if (args.length == 1 && args[0].equals("adapter")) {
             System.exit(Adapter.run(System.in, System.out, System.err));
         }
-        int code = Commands.run(args);
+        int code = Commands.execute(args);
         if (code >= 0) {
             System.exit(code);
         }
--- a/src/main/java/cypressvalve/cli/Commands.java
+++ b/src/main/java/cypressvalve/cli/Commands.java
@@ -17,7 +17,7 @@
     private CommandSpec spec;
 
     /** Runs a command line and returns the exit code. */
-    public static int run(String... args) {
+    public static int execute(String... args) {
         if (System.getProperty("cypressvalve.log.form") == null && System.console() != null) {
             System.setProperty("cypressvalve.log.form", "plain");
         }
