What rules need is kept by host, title and stream; hosts in use alone are looked at

Change: counts by title and plan, steps due by turn, overfull and underused hosts before what they carry.

--- a/src/main/java/cypressvalve/Control.java
+++ b/src/main/java/cypressvalve/Control.java
@@ -19,11 +19,14 @@
     private final TreeMap<Long, MediaHost> hosts = new TreeMap<>();
     private final TreeMap<Integer, Rack> racks = new TreeMap<>();
     private final List<Playback> open = new ArrayList<>();
-    private final List<Playback> playing = new ArrayList<>();
+    private final Set<Playback> playing = new LinkedHashSet<>();
+    private final TreeMap<Long, Playback> untold = new TreeMap<>();
+    private final Set<MediaHost> used = new LinkedHashSet<>();
     private final ArrayDeque<Playback> latest = new ArrayDeque<>();
     private final Samples taken = new Samples(1024);
     private final Samples further = new Samples(256);
     private int lists;
+    private long begun;
     private long now;
     private long startedAt;
     private boolean beganWithDay;
@@ -42,7 +45,7 @@
         rule(() -> first(open, pb -> !pb.onHost() && now >= pb.waitUntil), this::place),
         rule(this::overfull, group -> step(group, -1)),
         rule(this::underused, group -> step(group, rungsUp(group))),
-        rule(() -> first(playing, pb -> pb.rung != pb.rungTold), this::tellRung),
+        rule(this::untold, this::tellRung),
         rule(this::unheard, this::ask),
         rule(() -> nextLook() < (wakeAt > now ? wakeAt : Long.MAX_VALUE) ? nextLook() : null, this::wake));
 
@@ -93,7 +96,7 @@
         beganWithDay = true;
         pb.rung = pb.rungTold = pb.plan.floor;
         pb.tries.add(new SetupTry(pb, host, 0, now));
-        host.carried.add(pb.lastTry());
+        carry(pb.lastTry());
         begin(pb);
         pb.rungSince -= STEP_UP_AFTER / 2; // Low rungs handed over on empty links need not wait in full.
         host.tally(now, settings.joinShare);
@@ -114,7 +117,12 @@
         MediaHost host = setupTry.host;
         boolean wasPlaying = setupTry.playback.playing;
         setupTry.verdict = verdict;
-        host.carried.remove(setupTry);
+        if (host.carried.remove(setupTry)) {
+            setupTry.playback.title.carried.merge(setupTry.playback.plan, -1, Integer::sum);
+        }
+        if (host.carried.isEmpty()) {
+            used.remove(host);
+        }
         host.tally(now, settings.joinShare);
         // Reports in answers are noisy and late: taken only where no note has come; to be turned away is one.
         boolean full = verdict == Verdict.FULL && settings.fullFrom > 0;
@@ -122,7 +130,9 @@
             takeReport(host, full ? settings.fullFrom : link, uplink, now - REPORT_AGE);
         }
         blame(host, verdict, BLAMED.contains(verdict) && (!wasPlaying || verdict == Verdict.BROKEN));
-        playing.remove(setupTry.playback);
+        if (playing.remove(setupTry.playback)) {
+            setupTry.playback.title.playing.merge(setupTry.playback.plan, -1, Integer::sum);
+        }
         if (finished || wasPlaying) {
             over(setupTry.playback);
         }
@@ -208,10 +218,10 @@
 
     /** Part of the told limit that is used: a set-up may weigh more than the usual one. */
     private static final double COLD_PART = 0.6;
-    /** Part of a slot that is used: a tenth under the half, for clocks that differ and set-ups on their way. */
+    /** Part of a slot that is used: under a half, for clocks that differ and set-ups on their way. */
     private static final double SLOT_PART = 0.4;
 
-    /** How far gateways' clocks may be apart, travel of a set-up included, so that a window meets one turn. */
+    /** How far gateways' clocks may differ, a set-up's way included, for any window to meet one turn. */
     public static long clockSlack(long fallTime) {
         return (long) (2 * fallTime * (0.5 - SLOT_PART));
     }
@@ -292,8 +302,7 @@
 
     /** Rule 5: seats, counted from the set-up to its end. */
     private boolean seatFree(Playback pb) {
-        return pb.plan.seats <= 0 || hosts.values().stream().flatMap(h -> h.carried.stream())
-            .filter(t -> t.playback.plan == pb.plan && t.playback.title == pb.title).count() < pb.plan.seats;
+        return pb.plan.seats <= 0 || pb.title.carried.getOrDefault(pb.plan, 0) < pb.plan.seats;
     }
 
     private static final Set<Verdict> UNREACHED = EnumSet.of(Verdict.NO_CONNECTION, Verdict.BROKEN);
@@ -429,8 +438,7 @@
 
     /** Revenue a second per kB of the step up to that rung, joined viewers counted together. */
     private double stepValue(Playback pb, int rung) {
-        long joined = !pb.plan.live ? 1 : Math.max(1, playing.stream()
-            .filter(o -> o.title == pb.title && o.plan == pb.plan).count());
+        long joined = !pb.plan.live ? 1 : Math.max(1, pb.title.playing.getOrDefault(pb.plan, 0));
         double share = (1 + settings.joinShare * (joined - 1)) / joined;
         double kb = (pb.plan.rates[rung] - pb.plan.rates[rung - 1]) * share;
         double more = settings.rungRevenue[rung] - settings.rungRevenue[rung - 1];
@@ -493,8 +501,8 @@
         return most <= 0 ? 1 : of.stream().mapToDouble(pb -> settings.rungRevenue[pb.rung]).sum() / most;
     }
 
-    private int highest(Playback pb) {
-        return Math.max(pb.plan.floor, Math.min(Math.min(pb.ceiling, pb.plan.top), pb.plan.rates.length - 1));
+    private static int highest(Playback pb) {
+        return pb.highest();
     }
 
     private int fairRung(Playback pb) {
@@ -562,7 +570,7 @@
             return first;
         }
         long near = well.stream().filter(h -> h.zone.equals(first.zone)).count();
-        long held = playing.stream().filter(o -> o.title == pb.title).count();
+        long held = pb.title.playing.values().stream().mapToInt(n -> n).sum();
         double links = pb.plan.live ? held * settings.gateways * settings.joinShare
             * pb.plan.rates[highest(pb) / 2] / (T_HIGH * first.link) : near / 2;
         int several = (int) Math.max(1, Math.min(near, links));
@@ -627,16 +635,24 @@
         long left = giveUpAt(pb) - now;
         boolean last = pb.tries.size() + 1 >= settings.mostTries || pb.plan.effect == Plan.Effect.ONCE;
         pb.tries.add(new SetupTry(pb, host, pb.tries.size(), now));
-        host.carried.add(pb.lastTry());
+        carry(pb.lastTry());
         host.sent.add(now, 1);
         host.tally(now, settings.joinShare);
         gateway.setUp(pb, host, Math.max(1, last ? left : (long) (left * TRY_PART)));
     }
 
+    private void carry(SetupTry setupTry) {
+        setupTry.host.carried.add(setupTry);
+        used.add(setupTry.host);
+        setupTry.playback.title.carried.merge(setupTry.playback.plan, 1, Integer::sum);
+    }
+
     private void begin(Playback pb) {
         pb.answered = pb.playing = true;
         pb.playingSince = pb.rungSince = now;
+        pb.turn = begun++;
         playing.add(pb);
+        pb.title.playing.merge(pb.plan, 1, Integer::sum);
         latest.add(pb);
         if (latest.size() > LATEST) {
             latest.poll();
@@ -661,11 +677,14 @@
     /** Told, not guessed: a step on a wrong guess costs as much and must be taken back. */
     private boolean overfull(Playback pb) {
         MediaHost host = pb.lastTry().host;
-        double told = settings.notePeriod > 0 ? eased(host.load, host.own) : 0;
-        return overfull(Math.max(shortLoad(host), told), host.own, host.draw, pb)
+        return overfull(pressed(host), host.own, host.draw, pb)
             || overfull(eased(host.rack.load, host.rack.own), host.rack.own, host.rack.draw, pb);
     }
 
+    private double pressed(MediaHost host) {
+        return Math.max(shortLoad(host), settings.notePeriod > 0 ? eased(host.load, host.own) : 0);
+    }
+
     /**
      * A step of more than this gateway's part of the excess is made with a chance of that part over it, drawn
      * once a report: steps are coarse, and gateways that all round up would leave a link half empty.
@@ -687,24 +706,53 @@
     }
 
     private List<Playback> overfull() {
-        return playing.stream().filter(pb -> pb.rung > pb.plan.floor && overfull(pb))
-            .min(Comparator.comparingDouble(pb -> stepValue(pb, pb.rung))).map(this::group).orElse(null);
+        Playback least = null;
+        for (MediaHost host : used) {
+            if (Math.max(pressed(host), eased(host.rack.load, host.rack.own)) <= STEP_DOWN_AT) {
+                continue;
+            }
+            for (Playback pb : host.playing()) {
+                if (pb.rung > pb.plan.floor && (least == null || before(pb, least)) && overfull(pb)) {
+                    least = pb;
+                }
+            }
+        }
+        return least == null ? null : group(least);
     }
 
-    /** Those that share the playback's stream, which step together. */
+    /** Whether its step down costs less revenue than the other's; of equals the one that began first goes. */
+    private boolean before(Playback pb, Playback other) {
+        int order = Double.compare(stepValue(pb, pb.rung), stepValue(other, other.rung));
+        return order < 0 || order == 0 && pb.turn < other.turn;
+    }
+
+    /** Those that share the playback's stream, which step together, in the order in which they began. */
     private List<Playback> group(Playback pb) {
-        return playing.stream().filter(o -> o == pb || pb.plan.live && o.plan == pb.plan && o.rung == pb.rung
-            && o.title == pb.title && o.lastTry().host == pb.lastTry().host).toList();
+        return !pb.plan.live ? List.of(pb) : pb.lastTry().host.playing().stream()
+            .filter(o -> o == pb || o.plan == pb.plan && o.rung == pb.rung && o.title == pb.title)
+            .sorted(Comparator.comparingLong(o -> o.turn)).toList();
     }
 
     private void step(List<Playback> group, int by) {
         for (Playback pb : group) {
             pb.rung += by;
             pb.rungSince = now;
+            untold.put(pb.turn, pb);
         }
         group.get(0).lastTry().host.tally(now, settings.joinShare);
     }
 
+    private Playback untold() {
+        while (!untold.isEmpty()) {
+            Playback pb = untold.firstEntry().getValue();
+            if (pb.rung != pb.rungTold && playing.contains(pb)) {
+                return pb;
+            }
+            untold.pollFirstEntry();
+        }
+        return null;
+    }
+
     /** Rule 5's guard: whatever a rule wished, no rung leaves that is under the floor or over the highest. */
     private void tellRung(Playback pb) {
         pb.rung = pb.rungTold = Math.max(pb.plan.floor, Math.min(pb.rung, highest(pb)));
@@ -716,16 +764,50 @@
         return (rates[rung] - rates[rung - 1]) * (1 + settings.joinShare * (group.size() - 1));
     }
 
-    private boolean wantsUp(Playback pb) {
+    /** Whether it has been under its highest rung for long, and has time left. */
+    private boolean mayWantUp(Playback pb) {
         return pb.rung < highest(pb) && now - pb.rungSince >= STEP_UP_AFTER
-            && (pb.hint <= 0 || pb.hint - (now - pb.playingSince) > STEP_UP_AFTER)
-            && shortLoad(pb.lastTry().host) == 0 && pb.rung < fairRung(pb);
+            && (pb.hint <= 0 || pb.hint - (now - pb.playingSince) > STEP_UP_AFTER);
+    }
+
+    private boolean wantsUp(Playback pb) {
+        return mayWantUp(pb) && shortLoad(pb.lastTry().host) == 0 && pb.rung < fairRung(pb);
     }
 
     private List<Playback> underused() {
-        return playing.stream().filter(this::wantsUp)
-            .map(pb -> group(pb).stream().filter(o -> highest(o) >= fairRung(pb)).toList())
-            .filter(group -> !group.isEmpty() && rungsUp(group) > 0).findFirst().orElse(null);
+        List<MediaHost> low = used.stream().filter(h -> h.low > 0 && shortLoad(h) == 0).toList();
+        if (low.stream().anyMatch(h -> anyPlaying(h, this::mayWantUp))) {
+            price(); // Looked at whenever one may want up, whatever room its host has.
+        }
+        Playback first = null;
+        List<Playback> chosen = null;
+        for (MediaHost host : low) {
+            // Spares a look at what the host carries: no step fits without our part of its room.
+            boolean open = myPart(host, 0, STEP_UP_TO);
+            for (int i = 0; open && i < host.carried.size(); i++) {
+                Playback pb = host.carried.get(i).playback;
+                if (pb.playing && (first == null || pb.turn < first.turn) && mayWantUp(pb)
+                    && stepValue(pb, pb.rung + 1) >= price && pb.rung < fairRung(pb)) {
+                    open = room(host, 0, STEP_UP_TO);
+                    List<Playback> group = !open ? List.of() : group(pb).stream()
+                        .filter(o -> highest(o) >= fairRung(pb)).toList();
+                    if (!group.isEmpty() && rungsUp(group) > 0) {
+                        first = pb;
+                        chosen = group;
+                    }
+                }
+            }
+        }
+        return chosen;
+    }
+
+    private static boolean anyPlaying(MediaHost host, Predicate<Playback> wanted) {
+        for (SetupTry setupTry : host.carried) {
+            if (setupTry.playback.playing && wanted.test(setupTry.playback)) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /** Where reports come on probes only, lowest rungs would stay on empty links: one in a report's life. */
@@ -745,7 +827,7 @@
     private int rungsUp(List<Playback> group) {
         Playback pb = group.get(0);
         MediaHost host = pb.lastTry().host;
-        int most = Math.min(fairRung(pb), group.stream().mapToInt(this::highest).min().orElse(0));
+        int most = Math.min(fairRung(pb), group.stream().mapToInt(Playback::highest).min().orElse(0));
         int rung = pb.rung;
         double kb = group(pb).size() > group.size() ? pb.plan.rates[rung] * (1 - settings.joinShare) : 0;
         double mark = Double.isFinite(settings.uplink) && !known(host.rack.load) ? T_LOW : STEP_UP_TO;
@@ -769,7 +851,7 @@
         return part >= kb * (host.own.newest() > then ? 1 : host.draw);
     }
 
-    private static <T> T first(List<T> items, Predicate<T> wanted) {
+    private static <T> T first(Collection<T> items, Predicate<T> wanted) {
         return items.stream().filter(wanted).findFirst().orElse(null);
     }
 }
--- a/src/main/java/cypressvalve/model/MediaHost.java
+++ b/src/main/java/cypressvalve/model/MediaHost.java
@@ -1,7 +1,9 @@
 package cypressvalve.model;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
 /** A media host as the list tells of it, and what this gateway saw of it. */
 public final class MediaHost {
@@ -40,6 +42,8 @@
     public boolean probeOut;
     /** Tries out or playing here. */
     public final List<SetupTry> carried = new ArrayList<>();
+    /** How many of these are under their highest rung. */
+    public int low;
 
     public MediaHost(long id) {
         this.id = id;
@@ -47,11 +51,7 @@
 
     /** Whether the playback would share a stream that is carried here at that rung. */
     public boolean joins(Playback pb, int rung) {
-        return joins(pb, rung, carried.size());
-    }
-
-    private boolean joins(Playback pb, int rung, int upTo) {
-        for (int i = 0; i < upTo && pb.plan.live; i++) {
+        for (int i = 0; i < carried.size() && pb.plan.live; i++) {
             Playback other = carried.get(i).playback;
             if (other != pb && other.title == pb.title && other.plan == pb.plan && other.rung == rung) {
                 return true;
@@ -60,12 +60,29 @@
         return false;
     }
 
+    /** The playbacks that play here. */
+    public List<Playback> playing() {
+        List<Playback> all = new ArrayList<>(carried.size());
+        for (SetupTry setupTry : carried) {
+            if (setupTry.playback.playing) {
+                all.add(setupTry.playback);
+            }
+        }
+        return all;
+    }
+
+    private record Stream(Title title, Plan plan, int rung) { }
+
     /** Works out anew what the carried playbacks ask for; a joined one adds its share. */
     public void tally(long now, double joinShare) {
         double sum = 0;
-        for (int i = 0; i < carried.size(); i++) {
-            Playback pb = carried.get(i).playback;
-            sum += pb.plan.rates[pb.rung] * (joins(pb, pb.rung, i) ? joinShare : 1);
+        low = 0;
+        Set<Stream> streams = carried.size() > 1 ? new HashSet<>() : null;
+        for (SetupTry setupTry : carried) {
+            Playback pb = setupTry.playback;
+            boolean joins = pb.plan.live && streams != null && !streams.add(new Stream(pb.title, pb.plan, pb.rung));
+            sum += pb.plan.rates[pb.rung] * (joins ? joinShare : 1);
+            low += pb.rung < pb.highest() ? 1 : 0;
         }
         rack.own.set(now, rack.own.newest() + sum - own.newest());
         own.set(now, sum);
--- a/src/main/java/cypressvalve/model/Playback.java
+++ b/src/main/java/cypressvalve/model/Playback.java
@@ -20,6 +20,8 @@
     /** The rung in force, and since when. */
     public int rung;
     public int rungTold;
+    /** How many of the gateway's playbacks began to play before it. */
+    public long turn;
     public long rungSince;
     public boolean playing;
     public long playingSince;
@@ -37,6 +39,11 @@
         return tries.isEmpty() ? null : tries.get(tries.size() - 1);
     }
 
+    /** The highest rung that its plan and its screen may use. */
+    public int highest() {
+        return Math.max(plan.floor, Math.min(Math.min(ceiling, plan.top), plan.rates.length - 1));
+    }
+
     /** A try is out, or the playback plays. */
     public boolean onHost() {
         return !tries.isEmpty() && lastTry().verdict == null;
--- a/src/main/java/cypressvalve/model/Title.java
+++ b/src/main/java/cypressvalve/model/Title.java
@@ -1,6 +1,8 @@
 package cypressvalve.model;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 /** What viewers watch, and the cells whose media hosts hold it: copies in a row from first. */
 public final class Title {
@@ -11,6 +13,10 @@
     public List<MediaHost> holders = List.of();
     public int listed;
 
+    /** How many of this gateway's tries are out or play, and how many play, by plan. */
+    public final Map<Plan, Integer> carried = new HashMap<>();
+    public final Map<Plan, Integer> playing = new HashMap<>();
+
     public Title(String key) {
         this.key = key;
     }
