--- a/src/main/java/cypressvalve/Control.java
+++ b/src/main/java/cypressvalve/Control.java
@@ -26,7 +26,10 @@
     private final Samples taken = new Samples(1024);
     private final Samples further = new Samples(256);
     private int lists;
+    private final double leastStep;
     private long begun;
+    /** Counts what changes for which steps up are wished, but for what a host itself carries. */
+    private long wishes;
     private long now;
     private long startedAt;
     private boolean beganWithDay;
@@ -54,6 +57,8 @@
         this.gateway = gateway;
         this.now = this.startedAt = time;
         mustFollow = settings.listOnRequest;
+        leastStep = settings.plans.stream().flatMapToDouble(p -> IntStream.range(1, p.rates.length)
+            .mapToDouble(r -> p.rates[r] - p.rates[r - 1])).min().orElse(0);
         chance = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
     }
 
@@ -131,7 +136,7 @@
         }
         blame(host, verdict, BLAMED.contains(verdict) && (!wasPlaying || verdict == Verdict.BROKEN));
         if (playing.remove(setupTry.playback)) {
-            setupTry.playback.title.playing.merge(setupTry.playback.plan, -1, Integer::sum);
+            joined(setupTry.playback, -1);
         }
         if (finished || wasPlaying) {
             over(setupTry.playback);
@@ -462,7 +467,9 @@
             return price;
         }
         priceAt = now;
-        worst = settings.plans.stream().min(Comparator.comparingDouble(this::served)).orElse(null);
+        double before = price;
+        Plan worstBefore = worst;
+        worst = worstServed();
         List<MediaHost> up = hosts.values().stream().filter(h -> h.state == MediaHost.State.ACTIVE).toList();
         double links = up.stream().mapToDouble(h -> h.link).sum();
         double asked = up.stream().mapToDouble(h -> linkLoad(h) * h.link).sum();
@@ -491,12 +498,19 @@
             allowed -= steps.get(i++)[1];
         }
         price = i < steps.size() ? steps.get(i)[0] : 0;
+        wishes += price != before || worst != worstBefore ? 1 : 0;
         return price;
     }
 
-    /** Part of their revenue that a plan's playing ones earn now. */
-    private double served(Plan plan) {
-        List<Playback> of = playing.stream().filter(pb -> pb.plan == plan).toList();
+    /** The plan whose playing ones earn the least part of the revenue that they could. */
+    private Plan worstServed() {
+        Map<Plan, List<Playback>> byPlan = new HashMap<>();
+        playing.forEach(pb -> byPlan.computeIfAbsent(pb.plan, plan -> new ArrayList<>()).add(pb));
+        return settings.plans.stream()
+            .min(Comparator.comparingDouble(p -> served(byPlan.getOrDefault(p, List.of())))).orElse(null);
+    }
+
+    private double served(List<Playback> of) {
         double most = of.stream().mapToDouble(pb -> settings.rungRevenue[highest(pb)]).sum();
         return most <= 0 ? 1 : of.stream().mapToDouble(pb -> settings.rungRevenue[pb.rung]).sum() / most;
     }
@@ -516,7 +530,7 @@
         if (title.listed != lists) {
             title.listed = lists;
             title.holders = hosts.values().stream().filter(h -> h.state == MediaHost.State.ACTIVE
-                && Math.floorMod(h.cell - title.first, settings.cells) < title.copies)
+                && holds(h, title))
                 .sorted(Comparator.comparing((MediaHost h) -> !h.zone.equals(settings.zone))
                 .thenComparingLong(h -> hash(title.key, h.id))).toList();
         }
@@ -641,6 +655,18 @@
         gateway.setUp(pb, host, Math.max(1, last ? left : (long) (left * TRY_PART)));
     }
 
+    /** What a step of a live title is worth hangs on how many join it, wherever they play. */
+    private void joined(Playback pb, int more) {
+        pb.title.playing.merge(pb.plan, more, Integer::sum);
+        if (pb.plan.live) {
+            used.stream().filter(h -> holds(h, pb.title)).forEach(h -> h.quietWhile = -1);
+        }
+    }
+
+    private boolean holds(MediaHost host, Title title) {
+        return Math.floorMod(host.cell - title.first, settings.cells) < title.copies;
+    }
+
     private void carry(SetupTry setupTry) {
         setupTry.host.carried.add(setupTry);
         used.add(setupTry.host);
@@ -652,7 +678,8 @@
         pb.playingSince = pb.rungSince = now;
         pb.turn = begun++;
         playing.add(pb);
-        pb.title.playing.merge(pb.plan, 1, Integer::sum);
+        joined(pb, 1);
+        pb.lastTry().host.quietWhile = -1;
         latest.add(pb);
         if (latest.size() > LATEST) {
             latest.poll();
@@ -782,14 +809,27 @@
         Playback first = null;
         List<Playback> chosen = null;
         for (MediaHost host : low) {
-            // Spares a look at what the host carries: no step fits without our part of its room.
-            boolean open = myPart(host, 0, STEP_UP_TO);
-            for (int i = 0; open && i < host.carried.size(); i++) {
+            if (host.quietWhile == wishes && now < host.quietUntil || !myPart(host, leastStep, STEP_UP_TO)) {
+                continue; // Spares a look at what it carries: none wants up, or our part has no room.
+            }
+            long next = Long.MAX_VALUE;
+            boolean quiet = true;
+            for (int i = 0; i < host.carried.size(); i++) {
                 Playback pb = host.carried.get(i).playback;
-                if (pb.playing && (first == null || pb.turn < first.turn) && mayWantUp(pb)
-                    && stepValue(pb, pb.rung + 1) >= price && pb.rung < fairRung(pb)) {
-                    open = room(host, 0, STEP_UP_TO);
-                    List<Playback> group = !open ? List.of() : group(pb).stream()
+                boolean under = pb.playing && pb.rung < highest(pb);
+                if (under && now - pb.rungSince < STEP_UP_AFTER) {
+                    next = Math.min(next, pb.rungSince + STEP_UP_AFTER);
+                }
+                if (!under || !mayWantUp(pb) || stepValue(pb, pb.rung + 1) < price
+                    || pb.rung >= fairRung(pb)) {
+                    continue;
+                }
+                quiet = false;
+                if (!room(host, leastStep, STEP_UP_TO)) {
+                    break;
+                }
+                if (first == null || pb.turn < first.turn) {
+                    List<Playback> group = group(pb).stream()
                         .filter(o -> highest(o) >= fairRung(pb)).toList();
                     if (!group.isEmpty() && rungsUp(group) > 0) {
                         first = pb;
@@ -797,6 +837,8 @@
                     }
                 }
             }
+            host.quietWhile = quiet ? wishes : -1;
+            host.quietUntil = next;
         }
         return chosen;
     }
--- a/src/main/java/cypressvalve/model/MediaHost.java
+++ b/src/main/java/cypressvalve/model/MediaHost.java
@@ -44,6 +44,9 @@
     public final List<SetupTry> carried = new ArrayList<>();
     /** How many of these are under their highest rung. */
     public int low;
+    /** Nothing here wants a step up before that time, as long as the gateway's count of wishes stands. */
+    public long quietWhile = -1;
+    public long quietUntil;
 
     public MediaHost(long id) {
         this.id = id;
@@ -77,6 +80,7 @@
     public void tally(long now, double joinShare) {
         double sum = 0;
         low = 0;
+        quietWhile = -1;
         Set<Stream> streams = carried.size() > 1 ? new HashSet<>() : null;
         for (SetupTry setupTry : carried) {
             Playback pb = setupTry.playback;
