Bytes and connections of media hosts on the tape, by a conduit of its own; a drained gateway exits 0

Need: the tape is to tell what reached each socket, whole or cut off. Change: TapeConduit under the pacing one, connection records, exit code 0 after SIGTERM's drain.

--- a/src/main/java/cypressvalve/cli/GatewayCommand.java
+++ b/src/main/java/cypressvalve/cli/GatewayCommand.java
@@ -31,7 +31,6 @@
         });
         node.start();
         System.out.println("gateway " + settings.number() + " listens on " + settings.listenHost() + ":" + node.port());
-        CountDownLatch drained = new CountDownLatch(1);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             try {
                 if (failure.get() == null) {
@@ -39,8 +38,9 @@
                 }
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
-            } finally {
-                drained.countDown();
+            }
+            if (failure.get() == null) {
+                Runtime.getRuntime().halt(0); // Told to end, and ended as told: the JVM alone would say 143.
             }
         }, "drain"));
         over.await();
--- a/src/main/java/cypressvalve/standin/MediaHostServer.java
+++ b/src/main/java/cypressvalve/standin/MediaHostServer.java
@@ -235,7 +235,13 @@
             return;
         }
         if (connections.add(connection)) {
-            connection.addCloseListener(c -> thread.execute(() -> connections.remove(c)));
+            tape.put("host", "connected", "host", spec.id(), "connections", connections.size());
+            int born = life;
+            connection.addCloseListener(c -> thread.execute(() -> {
+                if (connections.remove(c) && born == life) {
+                    tape.put("host", "closed", "host", spec.id(), "connections", connections.size());
+                }
+            }));
         }
         String[] parts = exchange.getRequestPath().split("/", -1);
         HttpString method = exchange.getRequestMethod();
@@ -470,12 +476,14 @@
         session.lastSeen = System.nanoTime();
         double kb = spec.ladder()[Integer.parseInt(rung)] * spec.plans().get(session.plan).factor() * session.factor;
         int bytes = (int) Math.min(PACKETS.capacity(), kb * 1000 * spec.segment() / 1e9 / 188) * 188;
-        bytes = Math.max(188, Math.min(bytes, PACKETS.capacity() / 188 * 188));
-        exchange.addResponseWrapper((factory, ex) -> new PacedConduit(factory.create(), () -> bytesPerNano(session),
-            n -> session.lastSeen = System.nanoTime()));
-        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "video/mp2t");
         ByteBuffer body = PACKETS.duplicate();
-        body.limit(bytes);
+        body.limit(Math.max(188, Math.min(bytes, PACKETS.capacity() / 188 * 188)));
+        // The pace stands in front of the count, so that only what reached the socket is on the tape.
+        exchange.addResponseWrapper((factory, ex) -> new PacedConduit(new TapeConduit(factory.create(),
+            n -> session.lastSeen = System.nanoTime(), (sent, whole) -> tape.put("host", "sent", "host", spec.id(),
+                "session", name, "file", file, "rung", Integer.parseInt(rung), "bytes", sent, "of", body.limit(),
+                "whole", whole && sent == body.limit())), () -> bytesPerNano(session)));
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "video/mp2t");
         exchange.getResponseSender().send(body);
     }
 
--- a/src/main/java/cypressvalve/standin/PacedConduit.java
+++ b/src/main/java/cypressvalve/standin/PacedConduit.java
@@ -5,7 +5,6 @@
 import java.nio.channels.FileChannel;
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
-import java.util.function.LongConsumer;
 import org.xnio.XnioExecutor;
 import org.xnio.channels.StreamSourceChannel;
 import org.xnio.conduits.AbstractStreamSinkConduit;
@@ -21,16 +20,14 @@
     private static final long LOOK_AGAIN_MS = 10;
 
     private final DoubleSupplier bytesPerNano;
-    private final LongConsumer passed;
     private long last = System.nanoTime();
     private double credit = 1024;
     private boolean resumed;
     private XnioExecutor.Key timer;
 
-    PacedConduit(StreamSinkConduit next, DoubleSupplier bytesPerNano, LongConsumer passed) {
+    PacedConduit(StreamSinkConduit next, DoubleSupplier bytesPerNano) {
         super(next);
         this.bytesPerNano = bytesPerNano;
-        this.passed = passed;
     }
 
     private int allowed() {
@@ -56,7 +53,6 @@
         try {
             int n = next.write(src);
             credit -= n;
-            passed.accept(n);
             return n;
         } finally {
             src.limit(limit);
