--- a/src/main/java/cypressvalve/config/GatewaySettings.java
+++ b/src/main/java/cypressvalve/config/GatewaySettings.java
@@ -8,11 +8,13 @@
  * The settings of one gateway's process. Times are nanoseconds.
  *
  * @param keys the file with the key set of session URIs, null for a set of its own that dies with the process
+ * @param takeUp whether it begins with the service: its list is fresh, and what hosts carry for it is taken up
  * @param clockError what the operator's time service says the clock may be off by
  * @param uriExpiry how long a session's URIs hold
  */
 public record GatewaySettings(int number, int of, String zone, String listenHost, int listenPort, long seed, URI list,
-    Path keys, long clockError, long uriExpiry, Limits limits, HostLimits hosts, Service service) {
+    Path keys, boolean takeUp, long clockError,
+    long uriExpiry, Limits limits, HostLimits hosts, Service service) {
 
     /** Bounds on what clients may do. */
     public record Limits(int sessions, int connections, int headerBytes, int headers, int parameters,
@@ -44,7 +46,7 @@
             (int) h.whole("idle-connections", 0, 1000, hd.mostIdle()));
         return new GatewaySettings((int) g.whole("number", 0, Math.max(0, of - 1)), of, g.text("zone", ""), listen[0],
             Integer.parseInt(listen[1]), g.whole("seed", Long.MIN_VALUE, Long.MAX_VALUE, 0), list,
-            keys.isEmpty() ? null : Path.of(keys), g.time("clock-error", 0), g.time("uri-expiry", 43_200_000_000_000L),
+            keys.isEmpty() ? null : Path.of(keys), g.flag("take-up", false), g.time("clock-error", 0), g.time("uri-expiry", 43_200_000_000_000L),
             limits, hosts, Service.read(root.section("service")));
     }
 
--- a/src/main/java/cypressvalve/host/HostClient.java
+++ b/src/main/java/cypressvalve/host/HostClient.java
@@ -62,6 +62,9 @@
 
     void probe(HostAddress host, ProbeResult result);
 
+    /** Asks what the host carries for this gateway; nothing where it can't be asked. */
+    void carried(HostAddress host, java.util.function.Consumer<java.util.List<Carried>> result);
+
     /** Gives back idle connections. */
     void freeLinks(HostAddress host);
 
--- a/src/main/java/cypressvalve/host/HttpHostClient.java
+++ b/src/main/java/cypressvalve/host/HttpHostClient.java
@@ -11,14 +11,19 @@
 import io.undertow.client.ClientExchange;
 import io.undertow.util.HttpString;
 import io.undertow.util.Methods;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.net.URLEncoder;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.IoUtils;
@@ -52,7 +57,7 @@
     @Override
     public Call setUp(HostAddress host, SetUpOrder order, SetUpResult result) {
         String path = "/sessions/" + order.name() + "?title=" + encoded(order.title()) + "&plan="
-            + encoded(order.plan()) + "&rung=" + order.rung();
+            + encoded(order.plan()) + "&rung=" + order.rung() + "&about=" + encoded(order.about());
         boolean[] withdrawn = new boolean[1];
         HttpCaller.Call call = caller.send(host.base(), Methods.PUT, path, headers, order.maxWait(),
             (outcome, exchange) -> {
@@ -134,6 +139,46 @@
         });
     }
 
+    @Override
+    public void carried(HostAddress host, Consumer<List<Carried>> result) {
+        caller.send(host.base(), Methods.GET, "/carried", headers, limits.callTimeout(), (outcome, exchange) -> {
+            if (exchange == null || exchange.getResponse().getResponseCode() != 200) {
+                IoUtils.safeClose(exchange == null ? null : exchange.getConnection());
+                result.accept(List.of());
+                return;
+            }
+            ByteArrayOutputStream body = new ByteArrayOutputStream();
+            caller.read(exchange, new HttpCaller.Stream() {
+                @Override
+                public void bytes(ByteBuffer data) {
+                    while (data.hasRemaining() && body.size() <= MOST_EVENT) {
+                        body.write(data.get());
+                    }
+                }
+
+                @Override
+                public void closed() {
+                    IoUtils.safeClose(exchange.getConnection());
+                    thread.execute(() -> result.accept(sessions(host, body.toByteArray())));
+                }
+            });
+        });
+    }
+
+    private static List<Carried> sessions(HostAddress host, byte[] body) {
+        List<Carried> all = new ArrayList<>();
+        try {
+            for (JsonNode s : JSON.readTree(body)) {
+                all.add(new Carried(s.path("session").asText(), s.path("title").asText(), s.path("plan").asText(),
+                    s.path("rung").asInt(), s.path("about").asText()));
+            }
+        } catch (IOException e) {
+            LOG.warn("what a host carries is not JSON, or too long {}", kv("host", host.id()));
+            return List.of();
+        }
+        return all;
+    }
+
     @Override
     public void freeLinks(HostAddress host) {
         caller.free(host.base());
--- a/src/main/java/cypressvalve/judge/Judge.java
+++ b/src/main/java/cypressvalve/judge/Judge.java
@@ -134,6 +134,11 @@
                 down(r);
             }
             case "host/setup" -> setup(r);
+            case "host/adopted" -> {
+                Tried t = tried(r);
+                byPlayback.computeIfAbsent(t.playback, p -> new ArrayList<>()).add(t);
+                tries.put(t.name, t);
+            }
             case "host/setup-end" -> ended(r, !r.text("how").equals("started"),
                 r.text("how").equals("full") || r.text("how").equals("withdrawn"));
             case "host/release" -> {
@@ -210,7 +215,7 @@
 
     // Rules 2, 3, 5 and 6, and the count of 4.
 
-    private void setup(TapeRecord r) {
+    private static Tried tried(TapeRecord r) {
         Tried t = new Tried();
         t.setup = r;
         t.name = r.text("session");
@@ -219,6 +224,11 @@
         t.title = r.text("title");
         t.plan = r.text("plan");
         t.host = r.whole("host");
+        return t;
+    }
+
+    private void setup(TapeRecord r) {
+        Tried t = tried(r);
         List<Tried> before = byPlayback.computeIfAbsent(t.playback, p -> new ArrayList<>());
         Plan plan = plans.getOrDefault(t.plan, new Plan(false, 0, 0));
         for (Tried other : before) {
--- a/src/main/java/cypressvalve/rehearsal/Rehearsal.java
+++ b/src/main/java/cypressvalve/rehearsal/Rehearsal.java
@@ -8,9 +8,12 @@
 import cypressvalve.trouble.DayScript;
 import java.io.IOException;
 import java.net.http.HttpClient;
+import java.security.GeneralSecurityException;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -45,6 +48,15 @@
         ScheduledExecutorService troubles = Executors.newSingleThreadScheduledExecutor(daemon("troubles"));
         var callbacks = Executors.newFixedThreadPool(2, daemon("player-http"));
         try (Stage stage = new Stage(day, tape)) {
+            List<Crowd.Coming> crowd = Crowd.of(day);
+            Map<Crowd.Coming, Map.Entry<Integer, String>> resumed = new HashMap<>();
+            Random first = new Random(day.seed() * 7 + 1);
+            for (Crowd.Coming c : crowd) {
+                Map.Entry<Integer, String> playing = c.resumes() ? stage.adopt(c.viewer(), first) : null;
+                if (playing != null) {
+                    resumed.put(c, playing);
+                }
+            }
             stage.startGateways();
             HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).executor(callbacks)
                 .connectTimeout(Duration.ofSeconds(1)).followRedirects(HttpClient.Redirect.NEVER).build();
@@ -59,8 +71,15 @@
             long began = System.nanoTime();
             tape.put("rehearsal", "begins");
             new TroublePlayer(stage, troubles).play();
-            Crowd.of(day).forEach(c -> timers.schedule(() -> new Player(world, c.viewer()).start(),
-                c.at() - (System.nanoTime() - began), TimeUnit.NANOSECONDS));
+            crowd.forEach(c -> {
+                Player player = new Player(world, c.viewer());
+                Map.Entry<Integer, String> playing = resumed.get(c);
+                if (playing != null) {
+                    player.resume(playing.getKey(), playing.getValue());
+                } else {
+                    timers.schedule(player::start, c.at() - (System.nanoTime() - began), TimeUnit.NANOSECONDS);
+                }
+            });
             long longest = day.service().plans().values().stream().mapToLong(p -> p.abandon()).max().orElse(0);
             long end = day.length() + longest + SECOND;
             for (long s = 1; s * SECOND < end; s++) {
@@ -74,6 +93,8 @@
             if (stage.failure() != null) {
                 throw new IllegalStateException("a gateway's decisions failed", stage.failure());
             }
+        } catch (GeneralSecurityException e) {
+            throw new IllegalStateException(e);
         } finally {
             timers.shutdownNow();
             troubles.shutdownNow();
--- a/src/main/java/cypressvalve/rehearsal/Stage.java
+++ b/src/main/java/cypressvalve/rehearsal/Stage.java
@@ -11,6 +11,7 @@
 import cypressvalve.standin.HostSpec;
 import cypressvalve.standin.ListServer;
 import cypressvalve.standin.MediaHostServer;
+import cypressvalve.standin.Player;
 import cypressvalve.standin.Uplink;
 import cypressvalve.tape.Tape;
 import cypressvalve.trouble.DayScript;
@@ -18,6 +19,7 @@
 import java.net.URI;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.security.GeneralSecurityException;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -35,6 +37,9 @@
     /** Time past the abandon time in which an answer still counts, as the rules have it. */
     private static final long ANSWER_GRACE = 40_000_000L;
     private static final double RATED = 1;
+    /** Gateways started this soon after the hosts begin with the day; those started later do not. */
+    private static final long BEGINNING = 1_000_000_000L;
+    private static final long URI_LIFE_S = 43_200;
 
     private final DayScript day;
     private final Tape tape;
@@ -47,6 +52,8 @@
     private final Map<Integer, String> uris = new java.util.concurrent.ConcurrentHashMap<>();
     private final Path keys;
     private final AtomicReference<Throwable> failure = new AtomicReference<>();
+    private final Map<String, Integer> seats = new HashMap<>();
+    private long adopted;
     private int lives;
     /** Hosts that run when the day begins count as having run for long. */
     private long openedAt = Long.MAX_VALUE;
@@ -140,7 +147,8 @@
     /** Starts a gateway of that number, or starts it anew. */
     public synchronized GatewayNode startGateway(int number) {
         GatewaySettings settings = new GatewaySettings(number, day.gateways().count(), "", "127.0.0.1", 0,
-            day.seed() * 7919 + number + 100_003L * lives++, URI.create(list.uri()), keys, 0, 43_200_000_000_000L,
+            day.seed() * 7919 + number + 100_003L * lives++, URI.create(list.uri()), keys,
+            tape.now() < openedAt + BEGINNING, 0, 43_200_000_000_000L,
             GatewaySettings.Limits.DEFAULT, HostLimits.DEFAULT, day.service());
         GatewayNode node = new GatewayNode(settings, Clock.anchored(), cause -> {
             failure.compareAndSet(null, cause);
@@ -162,6 +170,44 @@
         }
     }
 
+    /**
+     * Lets a viewer's session play before the day begins, on a holder that has room for it.
+     *
+     * @return the gateway and the path of its media playlist, or null if no holder has room or no seat is free
+     */
+    public Map.Entry<Integer, String> adopt(Player.Viewer viewer, Random chance) throws GeneralSecurityException {
+        Service service = day.service();
+        Service.TitleRow title = service.titles().get(viewer.title());
+        Service.PlanRow plan = service.plans().get(viewer.plan());
+        int gateway = chance.nextInt(day.gateways().count());
+        String seat = gateway + "/" + viewer.plan() + "/" + viewer.title();
+        if (plan.seats() > 0 && seats.getOrDefault(seat, 0) >= plan.seats()) {
+            return null;
+        }
+        String id = "g" + gateway + "-" + String.format("%024x", ++adopted);
+        int rung = Math.max(plan.floor(), Math.min(Math.min(viewer.screen(), plan.top()),
+            service.ladder().length / 2));
+        String about = viewer.screen() + " " + viewer.hint() * 1_000_000_000L + " " + viewer.tenant() + " ";
+        for (int i = 0; i < title.copies(); i++) {
+            int cell = (title.first() + i) % service.fleet().cells();
+            if (cell < hosts.size() && hosts.get(cell).adopt(id + ".0", gateway, title.key(), plan.name(), rung,
+                about)) {
+                seats.merge(seat, 1, Integer::sum);
+                return Map.entry(gateway, new SessionUris(read(keys)).path(
+                    new SessionUris.Named(title.key(), id, tape.now() / 1_000_000_000L + URI_LIFE_S)) + "/media.m3u8");
+            }
+        }
+        return null;
+    }
+
+    private static String read(Path file) {
+        try {
+            return Files.readString(file);
+        } catch (IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
+    }
+
     /** The list hears of a host's state after the delay. */
     public void listed(int host, String state, long delay) {
         states[host] = state;
--- a/src/main/java/cypressvalve/run/GatewayNode.java
+++ b/src/main/java/cypressvalve/run/GatewayNode.java
@@ -168,6 +168,9 @@
                 @Override
                 public void listed(ListVersion version) {
                     core.listed(version.entries(), version.whole());
+                    if (settings.takeUp() && listed.getCount() > 0) {
+                        core.takeUp();
+                    }
                     listed.countDown();
                 }
 
--- a/src/main/java/cypressvalve/session/Ask.java
+++ b/src/main/java/cypressvalve/session/Ask.java
@@ -1,5 +1,9 @@
 package cypressvalve.session;
 
+import java.net.URLDecoder;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+
 /**
  * A viewer's wish to watch, as every front hands it to the core. Title and plan are known to the service.
  *
@@ -9,6 +13,23 @@
  * @param patience how long it waits for the answer, in nanoseconds
  */
 public record Ask(String viewer, String title, String plan, String tenant, int ceiling, long hint, long patience) {
+    /** What a media host keeps of it, for a gateway that takes the session up anew. */
+    String about() {
+        return ceiling + " " + hint + " " + URLEncoder.encode(tenant, StandardCharsets.UTF_8) + " "
+            + URLEncoder.encode(viewer, StandardCharsets.UTF_8);
+    }
+
+    /** The ask behind what a host kept; null if that was not written by {@link #about()}. */
+    static Ask from(String about, String title, String plan) {
+        String[] parts = about.split(" ", -1);
+        if (parts.length != 4 || !parts[0].matches("[0-9]{1,4}") || !parts[1].matches("[0-9]{1,18}")) {
+            return null;
+        }
+        return new Ask(URLDecoder.decode(parts[3], StandardCharsets.UTF_8), title, plan,
+            URLDecoder.decode(parts[2], StandardCharsets.UTF_8), Integer.parseInt(parts[0]),
+            Long.parseLong(parts[1]), 0);
+    }
+
     /** Asks with the same key are one playback; null where the viewer can't be known again. */
     String key() {
         return viewer.isEmpty() ? null : viewer + '\n' + tenant + '\n' + plan + '\n' + title;
--- a/src/main/java/cypressvalve/session/Session.java
+++ b/src/main/java/cypressvalve/session/Session.java
@@ -21,6 +21,8 @@
     State state = State.OPENING;
     End end;
     HostAddress host;
+    /** What the host calls it; null until it plays. */
+    String hostName;
     long lastSeen;
     /** System.nanoTime() when it began to play. */
     long begunAt;
@@ -76,7 +78,7 @@
 
     /** The name of the try that plays, as the media host knows it. */
     public String hostSession() {
-        return name(playback);
+        return hostName != null ? hostName : name(playback);
     }
 
     static String name(Playback playback) {
--- a/src/main/java/cypressvalve/session/SessionCore.java
+++ b/src/main/java/cypressvalve/session/SessionCore.java
@@ -7,6 +7,7 @@
 import cypressvalve.config.Service;
 import cypressvalve.fleet.ListEntry;
 import cypressvalve.fleet.ListFollower;
+import cypressvalve.host.Carried;
 import cypressvalve.host.HostAddress;
 import cypressvalve.host.HostClient;
 import cypressvalve.host.LoadReport;
@@ -272,6 +273,52 @@
         input(control::listFailed);
     }
 
+    /** Asks all hosts that run what they carry for this gateway and takes it up, once, at the start. */
+    public void takeUp() {
+        for (MediaHost host : hosts.values()) {
+            if (host.state == MediaHost.State.ACTIVE) {
+                HostAddress address = addresses.get(host.id);
+                client.carried(address, all -> all.forEach(c -> takeUp(host, address, c)));
+            }
+        }
+    }
+
+    /** A session that a host carries is this gateway's again; one that it can't make sense of is ended there. */
+    private void takeUp(MediaHost host, HostAddress address, Carried carried) {
+        int dot = carried.name().lastIndexOf('.');
+        String id = dot < 0 ? "" : carried.name().substring(0, dot);
+        Ask ask = Ask.from(carried.about(), carried.title(), carried.plan());
+        if (ask == null || !ids.mine(id) || sessions.containsKey(id) || sessions.size() >= mostSessions
+            || !titles.containsKey(ask.title()) || !settings.plansByName.containsKey(ask.plan())
+            || ask.key() != null && byKey.containsKey(ask.key())) {
+            client.release(address, carried.name());
+            return;
+        }
+        Playback pb = new Playback(id);
+        pb.plan = settings.plansByName.get(ask.plan());
+        pb.title = titles.get(ask.title());
+        pb.tenant = settings.tenants.getOrDefault(ask.tenant(), -1);
+        pb.ceiling = ask.ceiling();
+        pb.hint = ask.hint();
+        Session session = new Session(ask, service.titles().get(ask.title()), pb);
+        session.state = Session.State.PLAYING;
+        session.host = address;
+        session.hostName = carried.name();
+        session.begunAt = System.nanoTime();
+        session.lastSeen = clock.now();
+        sessions.put(id, session);
+        if (ask.key() != null) {
+            byKey.put(ask.key(), session);
+        }
+        LOG.info("taken up {} {}", kv("playback", id), kv("host", host.id));
+        input(() -> {
+            pb.arrivedAt = pb.abandonAt = now();
+            control.handedOver(pb, host);
+            control.rungTold(pb.lastTry(), carried.rung());
+        });
+        follow(host);
+    }
+
     // What media hosts tell.
 
     private Session at(long host, String name) {
@@ -338,7 +385,8 @@
     public void setUp(Playback pb, MediaHost host, long maxWait) {
         SetupTry setupTry = pb.lastTry();
         Session session = sessions.get(pb.id);
-        SetUpOrder order = new SetUpOrder(pb.id, setupTry.number, pb.title.key, session.ask().plan(), pb.rung, maxWait);
+        SetUpOrder order = new SetUpOrder(pb.id, setupTry.number, pb.title.key, session.ask().plan(), pb.rung, maxWait,
+            session.ask().about());
         HostAddress address = addresses.get(host.id);
         LOG.debug("set-up {} {} {} {}", kv("playback", pb.id), kv("try", setupTry.number), kv("host", host.id),
             kv("rung", pb.rung));
@@ -365,6 +413,7 @@
         }
         session.state = Session.State.PLAYING;
         session.host = address;
+        session.hostName = Session.name(session.playback);
         session.begunAt = System.nanoTime();
         session.lastSeen = now();
         follow(setupTry.host);
@@ -398,7 +447,7 @@
     public void setRung(Playback pb, int rung) {
         Session session = sessions.get(pb.id);
         if (session != null && pb.onHost()) {
-            client.setRung(addresses.get(pb.lastTry().host.id), Session.name(pb), rung);
+            client.setRung(addresses.get(pb.lastTry().host.id), session.hostSession(), rung);
             events.rungStep(rung);
         }
     }
--- a/src/main/java/cypressvalve/standin/MediaHostServer.java
+++ b/src/main/java/cypressvalve/standin/MediaHostServer.java
@@ -50,6 +50,8 @@
     /** Pushing is counted with so many set-ups of slack, for chance. */
     private static final int FALL_SLACK = 2;
     private static final long TICK_MS = 100;
+    /** Sessions that are there at the start leave this much of the link's use free. */
+    private static final double START_FULL = 0.7;
     private static final ByteBuffer PACKETS = packets(4 << 20);
 
     private final HostSpec spec;
@@ -89,6 +91,7 @@
         boolean over;
         long lastSeen = System.nanoTime();
         double factor = 1;
+        String about = "";
 
         Held(String name, int gateway, String title, String plan, int rung) {
             this.name = name;
@@ -257,6 +260,10 @@
             media(exchange, parts[2], parts[3], parts[4]);
         } else if (parts.length == 2 && parts[1].equals("probe")) {
             exchange.dispatch(SameThreadExecutor.INSTANCE, () -> probe(exchange));
+        } else if (parts.length == 2 && parts[1].equals("carried") && number >= 0) {
+            exchange.getResponseSender().send(JSON.writeValueAsString(held.values().stream()
+                .filter(h -> h.gateway == number && h.playing).map(h -> Map.of("session", h.name, "title", h.title,
+                    "plan", h.plan, "rung", h.rung, "about", h.about)).toList()));
         } else if (parts.length == 2 && parts[1].equals("notes") && number >= 0) {
             new ServerSentEventHandler((c, last) -> listens(c, number)).handleRequest(exchange);
         } else {
@@ -269,6 +276,30 @@
         return values == null ? "" : values.peekFirst();
     }
 
+    /**
+     * A session that plays when the day begins, set up by nobody's request.
+     *
+     * @return whether the host has place and link for it
+     */
+    public boolean adopt(String name, int gateway, String title, String plan, int rung, String about) {
+        boolean[] taken = new boolean[1];
+        on(() -> {
+            double kb = spec.ladder()[rung] * spec.plans().get(plan).factor();
+            if (held.size() < spec.places() && asked() + kb < START_FULL * spec.link()) {
+                Held fresh = new Held(name, gateway, title, plan, rung);
+                fresh.about = about;
+                fresh.playing = true;
+                fresh.factor = 1 + spec.vary() * Math.max(-1.5, Math.min(1.5, chance.nextGaussian()));
+                held.put(name, fresh);
+                share();
+                tape.put("host", "adopted", "host", spec.id(), "gateway", gateway, "session", name, "playback",
+                    name.substring(0, name.lastIndexOf('.')), "title", title, "plan", plan, "rung", rung);
+                taken[0] = true;
+            }
+        });
+        return taken[0];
+    }
+
     // Set-ups.
 
     private void setUp(HttpServerExchange exchange, int gateway, String name) {
@@ -286,6 +317,7 @@
         }
         Held fresh = new Held(name, gateway, title, plan, rung);
         fresh.exchange = exchange;
+        fresh.about = query(exchange, "about");
         if (!known) {
             end(fresh, "bad", 400, false);
         } else if (withdrawn.remove(name) || held.containsKey(name)) {
--- a/src/main/java/cypressvalve/standin/Player.java
+++ b/src/main/java/cypressvalve/standin/Player.java
@@ -76,6 +76,17 @@
         world.timers().execute(() -> ask(false));
     }
 
+    /** Goes on with a session that plays already; its media playlist lies at the path on that gateway. */
+    public void resume(int gateway, String path) {
+        world.timers().execute(() -> {
+            base = world.gatewayUri().apply(gateway);
+            media = base + path;
+            playBegan = System.nanoTime();
+            put("resumed", "gateway", gateway);
+            refresh();
+        });
+    }
+
     private void put(String kind, Object... fields) {
         Object[] all = new Object[fields.length + 2];
         all[0] = "viewer";
--- a/src/main/java/cypressvalve/trouble/Crowd.java
+++ b/src/main/java/cypressvalve/trouble/Crowd.java
@@ -10,11 +10,11 @@
 
 /** The viewers of a day, drawn whole from its seed before it begins: who comes when, wanting what, for how long. */
 public final class Crowd {
-    /** One viewer and when it comes, in nanoseconds from the day's start. */
-    public record Coming(long at, Player.Viewer viewer) { }
+    /** One viewer and when it comes, in nanoseconds from the day's start; one that resumes plays already then. */
+    public record Coming(long at, boolean resumes, Player.Viewer viewer) { }
 
     private static final long SECOND = 1_000_000_000L;
-    /** Viewers who are there at the start are spread over this time, so that hosts are not met by a wall. */
+    /** Viewers at the start for whom no host has room ask over this time, so that hosts are not met by a wall. */
     private static final long START_SPREAD = 2 * SECOND;
 
     private Crowd() {
@@ -25,7 +25,7 @@
         Random chance = new Random(day.seed());
         List<Coming> all = new ArrayList<>();
         for (int i = 0; i < day.viewers().atStart(); i++) {
-            all.add(new Coming((long) (chance.nextDouble() * START_SPREAD), viewer(day, chance, all.size(), 0)));
+            all.add(new Coming((long) (chance.nextDouble() * START_SPREAD), true, viewer(day, chance, all.size(), 0)));
         }
         double most = day.viewers().rate() * day.troubles().stream()
             .filter(t -> t.kind() == Trouble.Kind.BURST).mapToDouble(Trouble::size).reduce(1, (a, b) -> a * b);
@@ -37,7 +37,7 @@
                 break;
             }
             if (chance.nextDouble() * most < rate(day, (long) at)) {
-                all.add(new Coming((long) at, viewer(day, chance, all.size(), (long) at)));
+                all.add(new Coming((long) at, false, viewer(day, chance, all.size(), (long) at)));
             }
         }
         all.sort(Comparator.comparingLong(Coming::at));
--- a/src/test/java/cypressvalve/session/SessionCoreTest.java
+++ b/src/test/java/cypressvalve/session/SessionCoreTest.java
@@ -10,6 +10,7 @@
 import cypressvalve.config.Service;
 import cypressvalve.fleet.ListEntry;
 import cypressvalve.fleet.ListFollower;
+import cypressvalve.host.Carried;
 import cypressvalve.host.HostAddress;
 import cypressvalve.host.HostClient;
 import cypressvalve.host.LoadReport;
@@ -48,6 +49,7 @@
     private final SessionCore core;
     private Session last;
     private RuntimeException hostFailure;
+    private final List<Carried> carried = new ArrayList<>();
 
     SessionCoreTest() {
         Doc doc = Doc.parse("test", SERVICE);
@@ -228,6 +230,26 @@
         assertEquals("c rejected", answers.get(2));
     }
 
+    @Test
+    void whatHostsCarryIsTakenUpOnceAndTheRestEndedThere() {
+        String about = new Ask("a", "t", "few", "", 2, 0, 0).about();
+        carried.add(new Carried("g0-1.1", "t", "few", 1, about));
+        carried.add(new Carried("g7-1.0", "t", "few", 1, about));
+        carried.add(new Carried("g0-2.0", "unknown", "few", 1, about));
+        carried.add(new Carried("g0-3.0", "t", "few", 1, "nonsense"));
+        core.takeUp();
+        Session session = core.session("g0-1");
+        assertEquals(1, session.rung());
+        assertEquals("g0-1.1", session.hostSession());
+        assertEquals(1, core.held(Session.State.PLAYING));
+        assertTrue(calls.containsAll(List.of("release g7-1.0", "release g0-2.0", "release g0-3.0")), calls.toString());
+        ask("a", "few");
+        ask("b", "few");
+        assertEquals(List.of("a plays", "b rejected"), answers, "its seat counts, and its viewer is known again");
+        core.end(session);
+        assertTrue(calls.contains("release g0-1.1"));
+    }
+
     @Test
     void aStartThatCrossesTheWithdrawalIsReleased() {
         ask("a", "plain");
@@ -266,6 +288,11 @@
             calls.add("probe " + host.id());
         }
 
+        @Override
+        public void carried(HostAddress host, java.util.function.Consumer<List<Carried>> result) {
+            result.accept(host.id() == 0 ? carried : List.of());
+        }
+
         @Override
         public void freeLinks(HostAddress host) {
             calls.add("free " + host.id());
