--- a/src/main/java/cypressvalve/standin/Player.java
+++ b/src/main/java/cypressvalve/standin/Player.java
@@ -51,7 +51,7 @@
     private final World world;
     private final Viewer viewer;
     private final String sid = UUID.randomUUID().toString();
-    private final long until;
+    private long until;
     private int asks;
     private int lives;
     private long nextSegment = -1;
@@ -68,12 +68,14 @@
     public Player(World world, Viewer viewer) {
         this.world = world;
         this.viewer = viewer;
-        until = System.nanoTime() + viewer.length() + viewer.abandon();
     }
 
     /** Begins to ask; everything after runs on the world's timers. */
     public void start() {
-        world.timers().execute(() -> ask(false));
+        world.timers().execute(() -> {
+            until = System.nanoTime() + viewer.length() + viewer.abandon();
+            ask(false);
+        });
     }
 
     /** Goes on with a session that plays already; its media playlist lies at the path on that gateway. */
@@ -82,6 +84,7 @@
             base = world.gatewayUri().apply(gateway);
             media = base + path;
             playBegan = System.nanoTime();
+            until = playBegan + viewer.length() + viewer.abandon();
             put("resumed", "gateway", gateway);
             refresh();
         });
--- a/src/test/java/cypressvalve/rehearsal/PathBench.java
+++ b/src/test/java/cypressvalve/rehearsal/PathBench.java
@@ -18,6 +18,7 @@
     private static final int ROUNDS = 1500;
     private static final int WARM_UP = 500;
     private static final int HELD = 4000;
+    private static final int IDLE = 9000;
     private static final HttpClient HTTP = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
 
     private PathBench() {
@@ -28,7 +29,7 @@
     }
 
     public static void main(String[] args) throws Exception {
-        try (Scene scene = new Scene(1, 4, "1ms", "{time: 0s}")) {
+        try (Scene scene = Scene.wide(1, 4)) {
             Histogram direct = new Histogram(3);
             Histogram through = new Histogram(3);
             Histogram work = new Histogram(3);
@@ -74,6 +75,9 @@
             }
             many(scene, gateway);
         }
+        try (Scene scene = Scene.wide(1, 1)) {
+            idle(scene);
+        }
         System.exit(0);
     }
 
@@ -103,6 +107,26 @@
             .forEach(System.out::println);
     }
 
+    /** Connections that send nothing, and a viewer among them. */
+    private static void idle(Scene scene) throws Exception {
+        long before = used();
+        URI uri = URI.create(scene.stage.gatewayUri(0));
+        java.util.List<java.net.Socket> sockets = new java.util.ArrayList<>();
+        for (int i = 0; i < IDLE; i++) {
+            java.net.Socket socket = new java.net.Socket(uri.getHost(), uri.getPort());
+            socket.getOutputStream().write("GET /play/r0".getBytes(java.nio.charset.StandardCharsets.US_ASCII));
+            sockets.add(socket);
+        }
+        long t0 = System.nanoTime();
+        int status = scene.watch("among", 0, "plain").status();
+        System.out.printf(Locale.ROOT, "%d half-open connections: %.1f kB heap each, both ends; a viewer among them "
+            + "gets %d after %.1f ms%n", IDLE, (used() - before) / 1000.0 / IDLE, status,
+            (System.nanoTime() - t0) / 1e6);
+        for (java.net.Socket socket : sockets) {
+            socket.close();
+        }
+    }
+
     private static long used() throws InterruptedException {
         for (int i = 0; i < 3; i++) {
             System.gc();
--- a/src/test/java/cypressvalve/rehearsal/Scene.java
+++ b/src/test/java/cypressvalve/rehearsal/Scene.java
@@ -52,8 +52,12 @@
     private int asks;
 
     Scene(int gateways, int hosts, String work, String cold) throws IOException, InterruptedException {
-        Doc doc = Doc.parse("scene", DAY.replace("GATEWAYS", "" + gateways).replace("HOSTS", "" + hosts)
-            .replace("WORK", work).replace("COLD", cold));
+        this(DAY.replace("GATEWAYS", "" + gateways).replace("HOSTS", "" + hosts).replace("WORK", work)
+            .replace("COLD", cold));
+    }
+
+    private Scene(String script) throws IOException, InterruptedException {
+        Doc doc = Doc.parse("scene", script);
         DayScript day = DayScript.read(doc);
         doc.verify();
         tape.also(judge::accept);
@@ -72,6 +76,13 @@
         return new Scene(gateways, hosts, "5ms", "{time: 0s}");
     }
 
+    /** A scene whose hosts carry as many sessions as one likes. */
+    static Scene wide(int gateways, int hosts) throws IOException, InterruptedException {
+        return new Scene(DAY.replace("GATEWAYS", "" + gateways).replace("HOSTS", "" + hosts).replace("WORK", "1ms")
+            .replace("COLD", "{time: 0s}").replace("places: 40", "places: 5000").replace("link: 4000", "link: 900000")
+            .replace("cores: 4", "cores: 64, queue: 5000"));
+    }
+
     /** One request to watch, and what came of it. */
     final class Viewer {
         final String name;
--- a/src/test/java/cypressvalve/rehearsal/WholePathTest.java
+++ b/src/test/java/cypressvalve/rehearsal/WholePathTest.java
@@ -74,6 +74,7 @@
         }
         assertTrue(manifests > 30, manifests + " manifests");
         assertTrue(all.stream().filter(r -> r.is("player", "segment")).count() > 50);
+        assertTrue(all.stream().anyMatch(r -> r.is("player", "resumed")), "sessions of before the day are taken up");
         assertEquals(8, all.stream().filter(r -> r.is("fault", "begins")).count());
     }
 
