The judge gives a host that stood still that long; hosts say so on the tape

Change: a stand-in's loop that was kept from running says for how long; rules 2 and 5 are judged after that word, with that time added and no more.

--- a/src/main/java/cypressvalve/standin/MediaHostServer.java
+++ b/src/main/java/cypressvalve/standin/MediaHostServer.java
@@ -50,6 +50,8 @@
     /** Pushing is counted with so many set-ups of slack, for chance. */
     private static final int FALL_SLACK = 2;
     private static final long TICK_MS = 100;
+    /** The machine kept this loop from running for so long: told on the tape, as records of it came as late. */
+    private static final long STALLED = 50_000_000;
     /** Sessions that are there at the start leave this much of the link's use free. */
     private static final double START_FULL = 0.7;
     private static final ByteBuffer PACKETS = packets(4 << 20);
@@ -77,6 +79,7 @@
     private long startedAt;
     private boolean cold;
     private long lastNotes;
+    private long tickDue;
     private double smoothed = 1;
 
     /** A try or a session that the host holds. */
@@ -162,6 +165,7 @@
             cold = !warm;
             startedAt = tape.now();
             lastNotes = System.nanoTime();
+            tickDue = 0;
             tape.put("host", "up", "host", spec.id(), "warm", warm, "places", spec.places(),
                 "coldTime", spec.cold().time(), "coldShare", spec.cold().share(), "multiple", spec.cold().multiple(),
                 "window", spec.cold().window());
@@ -578,6 +582,11 @@
         if (born != life) {
             return;
         }
+        long late = System.nanoTime() - tickDue;
+        if (tickDue > 0 && late > STALLED) {
+            tape.put("host", "stalled", "host", spec.id(), "nanos", late);
+        }
+        tickDue = System.nanoTime() + TICK_MS * 1_000_000;
         share();
         smoothed += (delivered() - smoothed) * 0.2;
         long now = System.nanoTime();
--- a/src/test/java/cypressvalve/judge/JudgeTest.java
+++ b/src/test/java/cypressvalve/judge/JudgeTest.java
@@ -130,6 +130,18 @@
         broken();
     }
 
+    @Test
+    void aHostThatStoodStillIsGivenThatLongAndNoLonger() {
+        setup(10, 1, "p", 0, "plain");
+        setup(20, 2, "p", 1, "plain");
+        at(300, "host", "stalled", "host", 1, "nanos", 200 * MS);
+        release(319, "p.0");
+        broken();
+        tape.remove(tape.size() - 1);
+        release(321, "p.0");
+        broken(2);
+    }
+
     @Test
     void aPaidPlanTriedAgainAfterATryThatMayHaveRun() {
         setup(10, 1, "p", 0, "paid");
