Viewers on a stream are counted without a list of them

Cause: an overfull host built and sorted a list of joined viewers for each live playback looked at. Change: MediaHost counts them.

--- a/src/main/java/cypressvalve/Control.java
+++ b/src/main/java/cypressvalve/Control.java
@@ -717,7 +717,8 @@
      * once a report: steps are coarse, and gateways that all round up would leave a link half empty.
      */
     private boolean overfull(double load, Samples own, double draw, Playback pb) {
-        return load > STEP_DOWN_AT && own.newest() * (1 - EASE_TO / load) > draw * stepKb(group(pb), pb.rung);
+        return load > STEP_DOWN_AT && own.newest() * (1 - EASE_TO / load)
+            > draw * stepKb(pb, pb.lastTry().host.sharing(pb), pb.rung);
     }
 
     /**
@@ -786,9 +787,9 @@
         gateway.setRung(pb, pb.rung);
     }
 
-    private double stepKb(List<Playback> group, int rung) {
-        double[] rates = group.get(0).plan.rates;
-        return (rates[rung] - rates[rung - 1]) * (1 + settings.joinShare * (group.size() - 1));
+    private double stepKb(Playback pb, int sharing, int rung) {
+        double[] rates = pb.plan.rates;
+        return (rates[rung] - rates[rung - 1]) * (1 + settings.joinShare * (sharing - 1));
     }
 
     /** Whether it has been under its highest rung for long, and has time left. */
@@ -871,11 +872,11 @@
         MediaHost host = pb.lastTry().host;
         int most = Math.min(fairRung(pb), group.stream().mapToInt(Playback::highest).min().orElse(0));
         int rung = pb.rung;
-        double kb = group(pb).size() > group.size() ? pb.plan.rates[rung] * (1 - settings.joinShare) : 0;
+        double kb = host.sharing(pb) > group.size() ? pb.plan.rates[rung] * (1 - settings.joinShare) : 0;
         double mark = Double.isFinite(settings.uplink) && !known(host.rack.load) ? T_LOW : STEP_UP_TO;
-        while (rung < most && room(host, kb + stepKb(group, rung + 1), mark)
-            && myPart(host, kb + stepKb(group, rung + 1), mark)) {
-            kb += stepKb(group, ++rung);
+        while (rung < most && room(host, kb + stepKb(pb, group.size(), rung + 1), mark)
+            && myPart(host, kb + stepKb(pb, group.size(), rung + 1), mark)) {
+            kb += stepKb(pb, group.size(), ++rung);
         }
         return rung - pb.rung;
     }
--- a/src/main/java/cypressvalve/model/MediaHost.java
+++ b/src/main/java/cypressvalve/model/MediaHost.java
@@ -74,6 +74,17 @@
         return all;
     }
 
+    /** How many play here on the stream of one that plays here, itself counted. */
+    public int sharing(Playback pb) {
+        int sharing = pb.plan.live ? 0 : 1;
+        for (int i = 0; i < carried.size() && pb.plan.live; i++) {
+            Playback other = carried.get(i).playback;
+            sharing += other.playing && other.title == pb.title && other.plan == pb.plan && other.rung == pb.rung
+                ? 1 : 0;
+        }
+        return sharing;
+    }
+
     private record Stream(Title title, Plan plan, int rung) { }
 
     /** Works out anew what the carried playbacks ask for; a joined one adds its share. */
