--- a/src/main/java/cypressvalve/Control.java
+++ b/src/main/java/cypressvalve/Control.java
@@ -702,12 +702,6 @@
     private static final long STEP_UP_AFTER = 8_000_000_000L;
 
     /** Told, not guessed: a step on a wrong guess costs as much and must be taken back. */
-    private boolean overfull(Playback pb) {
-        MediaHost host = pb.lastTry().host;
-        return overfull(pressed(host), host.own, host.draw, pb)
-            || overfull(eased(host.rack.load, host.rack.own), host.rack.own, host.rack.draw, pb);
-    }
-
     private double pressed(MediaHost host) {
         return Math.max(shortLoad(host), settings.notePeriod > 0 ? eased(host.load, host.own) : 0);
     }
@@ -736,11 +730,12 @@
     private List<Playback> overfull() {
         Playback least = null;
         for (MediaHost host : used) {
-            if (Math.max(pressed(host), eased(host.rack.load, host.rack.own)) <= STEP_DOWN_AT) {
-                continue;
-            }
-            for (Playback pb : host.playing()) {
-                if (pb.rung > pb.plan.floor && (least == null || before(pb, least)) && overfull(pb)) {
+            double link = pressed(host);
+            double uplink = eased(host.rack.load, host.rack.own);
+            for (Playback pb : Math.max(link, uplink) > STEP_DOWN_AT ? host.playing() : List.<Playback>of()) {
+                if (pb.rung > pb.plan.floor && (least == null || before(pb, least))
+                    && (overfull(link, host.own, host.draw, pb)
+                    || overfull(uplink, host.rack.own, host.rack.draw, pb))) {
                     least = pb;
                 }
             }
