--- a/src/test/java/cypressvalve/rehearsal/PathBench.java
+++ b/src/test/java/cypressvalve/rehearsal/PathBench.java
@@ -119,9 +119,9 @@
         }
         long t0 = System.nanoTime();
         int status = scene.watch("among", 0, "plain").status();
+        double took = (System.nanoTime() - t0) / 1e6;
         System.out.printf(Locale.ROOT, "%d half-open connections: %.1f kB heap each, both ends; a viewer among them "
-            + "gets %d after %.1f ms%n", IDLE, (used() - before) / 1000.0 / IDLE, status,
-            (System.nanoTime() - t0) / 1e6);
+            + "gets %d after %.1f ms%n", IDLE, (used() - before) / 1000.0 / IDLE, status, took);
         for (java.net.Socket socket : sockets) {
             socket.close();
         }
