--- a/src/test/java/cypressvalve/rehearsal/HostileInputTest.java
+++ b/src/test/java/cypressvalve/rehearsal/HostileInputTest.java
@@ -2,8 +2,13 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import cypressvalve.config.GatewaySettings;
+import cypressvalve.host.HostLimits;
+import cypressvalve.run.GatewayNode;
+import cypressvalve.session.Clock;
 import cypressvalve.session.Session;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -164,6 +169,38 @@
         }
     }
 
+    @Test
+    void connectionsBeyondTheBoundWaitUntilOthersClose() throws Exception {
+        GatewaySettings.Limits d = GatewaySettings.Limits.DEFAULT;
+        GatewayNode node = new GatewayNode(new GatewaySettings(0, 1, "", "127.0.0.1", 0, 1,
+            URI.create(scene.stage.list().uri()), null, false, 0, 1_000_000_000_000L, new GatewaySettings.Limits(
+                d.sessions(), 5, d.headerBytes(), d.headers(), d.parameters(), d.requestTimeout(), d.idleTimeout()),
+            HostLimits.DEFAULT, scene.stage.day().service()), Clock.anchored(), cause -> { });
+        node.start();
+        List<Socket> sockets = new ArrayList<>();
+        try {
+            for (int i = 0; i < 5; i++) {
+                sockets.add(new Socket("127.0.0.1", node.port()));
+                send(sockets.get(i), "GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+                sockets.get(i).setSoTimeout(20_000);
+                assertTrue(read(sockets.get(i), 1).startsWith("HTTP/1.1 404"));
+            }
+            Socket sixth = new Socket("127.0.0.1", node.port());
+            sockets.add(sixth);
+            send(sixth, "GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+            sixth.setSoTimeout(200);
+            assertThrows(SocketTimeoutException.class, () -> sixth.getInputStream().read());
+            sockets.get(0).close();
+            sixth.setSoTimeout(20_000);
+            assertTrue(read(sixth, 1).startsWith("HTTP/1.1 404"));
+        } finally {
+            for (Socket socket : sockets) {
+                socket.close();
+            }
+            node.kill();
+        }
+    }
+
     @Test
     void aViewerWhoClosesWhilePipeliningIsStillAnsweredForThere() throws Exception {
         scene.host(0).faults().hang = true;
