A host's quiet time ends only where what plays on it changes

Cause: each set-up sent or ended voided what was known of a host's wishes for steps up, and the worst plan was found by a map of lists. Change: only a begin, a change of rung or a join void it; lists by the plans' order.

--- a/src/main/java/cypressvalve/Control.java
+++ b/src/main/java/cypressvalve/Control.java
@@ -166,6 +166,7 @@
     public void rungTold(SetupTry setupTry, int rung) {
         int known = Math.max(0, Math.min(rung, setupTry.playback.plan.rates.length - 1));
         setupTry.playback.rung = setupTry.playback.rungTold = known;
+        setupTry.host.quietWhile = -1;
         setupTry.host.tally(now, settings.joinShare);
     }
 
@@ -504,10 +505,11 @@
 
     /** The plan whose playing ones earn the least part of the revenue that they could. */
     private Plan worstServed() {
-        Map<Plan, List<Playback>> byPlan = new HashMap<>();
-        playing.forEach(pb -> byPlan.computeIfAbsent(pb.plan, plan -> new ArrayList<>()).add(pb));
+        List<List<Playback>> byPlan = new ArrayList<>();
+        settings.plans.forEach(p -> byPlan.add(new ArrayList<>()));
+        playing.forEach(pb -> byPlan.get(settings.plans.indexOf(pb.plan)).add(pb));
         return settings.plans.stream()
-            .min(Comparator.comparingDouble(p -> served(byPlan.getOrDefault(p, List.of())))).orElse(null);
+            .min(Comparator.comparingDouble(p -> served(byPlan.get(settings.plans.indexOf(p))))).orElse(null);
     }
 
     private double served(List<Playback> of) {
@@ -762,7 +764,9 @@
             pb.rungSince = now;
             untold.put(pb.turn, pb);
         }
-        group.get(0).lastTry().host.tally(now, settings.joinShare);
+        MediaHost host = group.get(0).lastTry().host;
+        host.quietWhile = -1;
+        host.tally(now, settings.joinShare);
     }
 
     private Playback untold() {
--- a/src/main/java/cypressvalve/model/MediaHost.java
+++ b/src/main/java/cypressvalve/model/MediaHost.java
@@ -91,7 +91,6 @@
     public void tally(long now, double joinShare) {
         double sum = 0;
         low = 0;
-        quietWhile = -1;
         Set<Stream> streams = carried.size() > 1 ? new HashSet<>() : null;
         for (SetupTry setupTry : carried) {
             Playback pb = setupTry.playback;
