--- a/src/main/java/cypressvalve/session/SessionCore.java
+++ b/src/main/java/cypressvalve/session/SessionCore.java
@@ -154,12 +154,7 @@
             answer.rejected(0);
             return null;
         }
-        Playback pb = new Playback(ids.next());
-        pb.plan = settings.plansByName.get(ask.plan());
-        pb.title = titles.get(ask.title());
-        pb.tenant = settings.tenants.getOrDefault(ask.tenant(), -1);
-        pb.ceiling = ask.ceiling();
-        pb.hint = ask.hint();
+        Playback pb = playback(ids.next(), ask);
         Session session = new Session(ask, service.titles().get(ask.title()), pb);
         session.waiting.add(answer);
         session.lastSeen = clock.now();
@@ -176,6 +171,16 @@
         return session;
     }
 
+    private Playback playback(String id, Ask ask) {
+        Playback pb = new Playback(id);
+        pb.plan = settings.plansByName.get(ask.plan());
+        pb.title = titles.get(ask.title());
+        pb.tenant = settings.tenants.getOrDefault(ask.tenant(), -1);
+        pb.ceiling = ask.ceiling();
+        pb.hint = ask.hint();
+        return pb;
+    }
+
     /** A waiting request's viewer hung up; when nobody waits for the playback any more it is over. */
     public void hungUp(Session session, Answer answer) {
         if (session.waiting.remove(answer) && session.waiting.isEmpty() && session.state == Session.State.OPENING) {
@@ -294,12 +299,7 @@
             client.release(address, carried.name());
             return;
         }
-        Playback pb = new Playback(id);
-        pb.plan = settings.plansByName.get(ask.plan());
-        pb.title = titles.get(ask.title());
-        pb.tenant = settings.tenants.getOrDefault(ask.tenant(), -1);
-        pb.ceiling = ask.ceiling();
-        pb.hint = ask.hint();
+        Playback pb = playback(id, ask);
         Session session = new Session(ask, service.titles().get(ask.title()), pb);
         session.state = Session.State.PLAYING;
         session.host = address;
--- a/src/main/java/cypressvalve/trouble/DayScript.java
+++ b/src/main/java/cypressvalve/trouble/DayScript.java
@@ -41,7 +41,7 @@
         double returns, long comeLeast, long comeMost, double honour, double silent, int retries, double buffer,
         long starve) { }
 
-    /** How many gateways, and how long after a restart their viewers find them. */
+    /** How many gateways. */
     public record Gateways(int count) { }
 
     /** Reads a day's script whole; faults go to the file's list. */
