A joined retry with less patience is answered in its own time

Cause: found on reading the change again; a retry that joined an open playback waited by the first request's abandon time, so one with a shorter wait could be answered too late (rule 1). Change: the least patient of those that wait sets the playback's time.

--- a/src/main/java/cypressvalve/session/SessionCore.java
+++ b/src/main/java/cypressvalve/session/SessionCore.java
@@ -146,6 +146,8 @@
                 answer.playing(joined);
             } else {
                 joined.waiting.add(answer);
+                // Rule 1 holds for each request: the least patient of those that wait sets the time.
+                input(() -> joined.playback.abandonAt = Math.min(joined.playback.abandonAt, now() + ask.patience()));
             }
             return joined;
         }
--- a/src/test/java/cypressvalve/session/SessionCoreTest.java
+++ b/src/test/java/cypressvalve/session/SessionCoreTest.java
@@ -76,6 +76,10 @@
     }
 
     private Answer ask(String viewer, String plan) {
+        return ask(viewer, plan, 2000 * MS);
+    }
+
+    private Answer ask(String viewer, String plan, long patience) {
         Answer answer = new Answer() {
             @Override
             public void playing(Session session) {
@@ -92,7 +96,7 @@
                 answers.add(viewer + " failed");
             }
         };
-        last = core.ask(new Ask(viewer, "t", plan, "", 2, 0, 2000 * MS), answer);
+        last = core.ask(new Ask(viewer, "t", plan, "", 2, 0, patience), answer);
         return answer;
     }
 
@@ -110,6 +114,15 @@
         assertEquals(1, results.size());
     }
 
+    @Test
+    void aRetryWithLessPatienceThanTheFirstIsAnsweredInItsOwnTime() {
+        ask("a", "plain");
+        loop.advance(100 * MS);
+        ask("a", "plain", 300 * MS);
+        loop.advance(299 * MS);
+        assertEquals(List.of("a rejected", "a rejected"), answers);
+    }
+
     @Test
     void aViewerWhoHangsUpWithdrawsTheTryOnceNobodyWaits() {
         Answer first = ask("a", "plain");
