Traces drive gateways open loop; floods meet a gate with fair turns

What arrived is matched against the source by the media hosts' tape. Reports in one HTML file, HdrHistogram logs. Gateways and media hosts write access logs, which import again. admission.Gate bounds open requests, paces them while the loop is late, gives tenants their share, and names times to return one after another.

--- a/src/main/java/cypressvalve/cli/ConfigCommand.java
+++ b/src/main/java/cypressvalve/cli/ConfigCommand.java
@@ -4,6 +4,7 @@
 import cypressvalve.config.Doc;
 import cypressvalve.config.GatewaySettings;
 import cypressvalve.config.HostFile;
+import cypressvalve.load.map.Mapping;
 import cypressvalve.trouble.DayScript;
 import java.nio.file.Path;
 import java.util.List;
@@ -63,6 +64,10 @@
                 HostFile.read(doc);
                 return "a media host's settings";
             }
+            if (doc.root().has("requests")) {
+                Mapping.read(doc);
+                return "a mapping of load";
+            }
             GatewaySettings.read(doc);
             return "a gateway's settings";
         }
--- a/src/main/java/cypressvalve/cli/LoadCommand.java
+++ b/src/main/java/cypressvalve/cli/LoadCommand.java
@@ -35,7 +35,8 @@
 /** Captures and logs as load. */
 @Command(name = "load", mixinStandardHelpOptions = true, description = "HAR files and access logs as load.",
     subcommands = {LoadCommand.Import.class, LoadCommand.Show.class, LoadCommand.Cut.class, LoadCommand.Thin.class,
-        LoadCommand.Multiply.class, LoadCommand.Shift.class, LoadCommand.Join.class, LoadCommand.Make.class})
+        LoadCommand.Multiply.class, LoadCommand.Shift.class, LoadCommand.Join.class, LoadCommand.Make.class,
+        ReplayCommand.class, ReportCommand.class})
 final class LoadCommand implements Runnable {
     @Spec
     private CommandSpec spec;
--- a/src/main/java/cypressvalve/cli/MediaHostCommand.java
+++ b/src/main/java/cypressvalve/cli/MediaHostCommand.java
@@ -1,5 +1,6 @@
 package cypressvalve.cli;
 
+import cypressvalve.accesslog.AccessLog;
 import cypressvalve.config.Doc;
 import cypressvalve.config.HostFile;
 import cypressvalve.rehearsal.Stage;
@@ -29,7 +30,8 @@
         doc.verify();
         Tape to = tape == null ? Tape.heard() : Tape.file(tape);
         MediaHostServer host = new MediaHostServer(Stage.spec(file),
-            new Uplink(file.uplink() > 0 ? file.uplink() : Double.MAX_VALUE), to);
+            new Uplink(file.uplink() > 0 ? file.uplink() : Double.MAX_VALUE), to,
+            file.accessLog() == null ? null : new AccessLog(file.accessLog()));
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             host.close();
             try {
--- a/src/main/java/cypressvalve/cli/RehearseCommand.java
+++ b/src/main/java/cypressvalve/cli/RehearseCommand.java
@@ -10,6 +10,7 @@
 import java.io.InputStream;
 import java.io.PrintWriter;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
@@ -30,6 +31,9 @@
     @Option(names = "--tape", paramLabel = "FILE", description = "keep the tape in this file")
     private Path tape;
 
+    @Option(names = "--access-logs", paramLabel = "DIR", description = "gateways and media hosts write access logs there")
+    private Path accessLogs;
+
     @Option(names = "--verbose", description = "log each answer and each failed try")
     private boolean verbose;
 
@@ -44,12 +48,15 @@
         Doc doc = day == null ? Doc.parse("default.yaml", builtIn()) : Doc.read(day);
         DayScript script = DayScript.read(doc);
         doc.verify();
+        if (accessLogs != null) {
+            Files.createDirectories(accessLogs);
+        }
         PrintWriter out = spec.commandLine().getOut();
         out.println("rehearsing " + script.name() + ": " + script.gateways().count() + " gateways, "
             + script.hosts().count() + " media hosts, " + script.troubles().size() + " troubles, loopback");
         out.flush();
         try (Tape to = tape == null ? Tape.heard() : Tape.file(tape)) {
-            Rehearsal rehearsal = new Rehearsal(script, to);
+            Rehearsal rehearsal = new Rehearsal(script, to, accessLogs);
             Map<Integer, List<Finding>> findings = rehearsal.play(line -> {
                 out.print(System.console() == null ? line + System.lineSeparator() : "\r" + line);
                 out.flush();
--- a/src/main/java/cypressvalve/config/GatewaySettings.java
+++ b/src/main/java/cypressvalve/config/GatewaySettings.java
@@ -1,5 +1,6 @@
 package cypressvalve.config;
 
+import cypressvalve.admission.Gate;
 import cypressvalve.host.HostLimits;
 import java.net.URI;
 import java.nio.file.Path;
@@ -8,20 +9,20 @@
  * The settings of one gateway's process. Times are nanoseconds.
  *
  * @param keys the file with the key set of session URIs, null for a set of its own that dies with the process
+ * @param accessLog the file of the access log, null for none
  * @param takeUp whether it begins with the service: its list is fresh, and what hosts carry for it is taken up
  * @param clockError what the operator's time service says the clock may be off by
  * @param uriExpiry how long a session's URIs hold
  */
 public record GatewaySettings(int number, int of, String zone, String listenHost, int listenPort, long seed, URI list,
-    Path keys, boolean takeUp, long clockError,
-    long uriExpiry, Limits limits, HostLimits hosts, Service service) {
+    Path keys, Path accessLog, boolean takeUp, long clockError, long uriExpiry, Limits limits, HostLimits hosts, Service service) {
 
     /** Bounds on what clients may do. */
     public record Limits(int sessions, int connections, int headerBytes, int headers, int parameters,
-        long requestTimeout, long idleTimeout) {
+        long requestTimeout, long idleTimeout, Gate.Limits admission) {
         /** What settings have where they say nothing; docs/on-call.md tells what each guards against. */
         public static final Limits DEFAULT = new Limits(20_000, 20_000, 8192, 100, 32, 10_000_000_000L,
-            60_000_000_000L);
+            60_000_000_000L, Gate.Limits.DEFAULT);
     }
 
     /** Reads a gateway's settings file whole; faults go to the file's list. */
@@ -32,13 +33,16 @@
         String[] listen = address(g, "listen");
         URI list = uri(g, "list");
         String keys = g.text("keys", "");
+        String accessLog = g.text("access-log", "");
         Doc.Section l = g.optional("limits");
         Limits d = Limits.DEFAULT;
         Limits limits = new Limits((int) l.whole("sessions", 1, 10_000_000, d.sessions),
             (int) l.whole("connections", 1, 10_000_000, d.connections),
             (int) l.whole("header-bytes", 256, 1 << 20, d.headerBytes), (int) l.whole("headers", 4, 10_000, d.headers),
             (int) l.whole("parameters", 4, 10_000, d.parameters), l.time("request-timeout", d.requestTimeout),
-            l.time("idle-timeout", d.idleTimeout));
+            l.time("idle-timeout", d.idleTimeout),
+            new Gate.Limits((int) l.whole("open-requests", 1, 1_000_000, d.admission.open()),
+                l.time("loop-late", d.admission.late())));
         Doc.Section h = g.optional("hosts");
         HostLimits hd = HostLimits.DEFAULT;
         HostLimits hosts = new HostLimits(h.time("connect-timeout", hd.connectTimeout()),
@@ -46,8 +50,8 @@
             (int) h.whole("idle-connections", 0, 1000, hd.mostIdle()));
         return new GatewaySettings((int) g.whole("number", 0, Math.max(0, of - 1)), of, g.text("zone", ""), listen[0],
             Integer.parseInt(listen[1]), g.whole("seed", Long.MIN_VALUE, Long.MAX_VALUE, 0), list,
-            keys.isEmpty() ? null : Path.of(keys), g.flag("take-up", false), g.time("clock-error", 0), g.time("uri-expiry", 43_200_000_000_000L),
-            limits, hosts, Service.read(root.section("service")));
+            keys.isEmpty() ? null : Path.of(keys), accessLog.isEmpty() ? null : Path.of(accessLog), g.flag("take-up", false),
+            g.time("clock-error", 0), g.time("uri-expiry", 43_200_000_000_000L), limits, hosts, Service.read(root.section("service")));
     }
 
     private static String[] address(Doc.Section g, String key) {
--- a/src/main/java/cypressvalve/front/hls/HlsFront.java
+++ b/src/main/java/cypressvalve/front/hls/HlsFront.java
@@ -1,6 +1,7 @@
 package cypressvalve.front.hls;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import cypressvalve.accesslog.AccessLogHandler;
 import cypressvalve.config.Service;
 import cypressvalve.net.HangUp;
 import cypressvalve.session.Answer;
@@ -133,6 +134,7 @@
         @Override
         public void playing(Session plays) {
             if (first()) {
+                exchange.putAttachment(AccessLogHandler.SESSION, plays.id());
                 long expires = (core.clock().now() + expiry) / SECOND;
                 String path = uris.path(new SessionUris.Named(plays.title().key(), plays.id(), expires));
                 double top = plays.rate(plays.highestRung()) * 8000;
@@ -165,6 +167,7 @@
             problem(exchange, 403, "not a session's URI of this gateway, or expired", Map.of());
             return;
         }
+        exchange.putAttachment(AccessLogHandler.SESSION, named.session());
         Session session = core.session(named.session());
         if (session == null || session.state() != Session.State.PLAYING) {
             problem(exchange, 410, "this session is over; ask to watch again", Map.of());
--- a/src/main/java/cypressvalve/load/map/Mapping.java
+++ b/src/main/java/cypressvalve/load/map/Mapping.java
@@ -67,8 +67,8 @@
         List<String> told = s.texts("ids");
         ids = told.isEmpty() ? List.of("sid", "address-agent") : told;
         for (String id : ids) {
-            if (!id.matches("sid|address-agent|address|(cookie|query|field):.+")) {
-                s.wrong("ids", "sid, cookie:NAME, query:NAME, field:NAME, address-agent or address, not '" + id + "'");
+            if (!id.matches("sid|address-agent|address|(cookie|query|field|cmcd):.+")) {
+                s.wrong("ids", "sid, cmcd:KEY, cookie:NAME, query:NAME, field:NAME, address-agent or address, not '" + id + "'");
             }
         }
         titles = Names.read(root.optional("titles"));
@@ -229,7 +229,8 @@
             if (id.startsWith("address")) {
                 weak = weak.isEmpty() ? key : weak;
             } else {
-                keys.add(id + ":" + key);
+                // Another CMCD key that names a session names it as sid does.
+                keys.add((id.startsWith("cmcd:") ? "sid" : id) + ":" + key);
             }
         }
         boolean sure = !keys.isEmpty();
@@ -250,9 +251,10 @@
     }
 
     private static String id(String id, Hit hit, Map<String, String> query) {
-        if (id.equals("sid")) {
-            String sid = sid(hit.cmcd());
-            return !sid.isEmpty() ? sid : sid(query.getOrDefault("CMCD", ""));
+        if (id.equals("sid") || id.startsWith("cmcd:")) {
+            String name = id.equals("sid") ? "sid" : id.substring(5);
+            String value = cmcd(hit.cmcd(), name);
+            return !value.isEmpty() ? value : cmcd(query.getOrDefault("CMCD", ""), name);
         }
         if (id.startsWith("address")) {
             // A page or an address; an agent alone is no viewer.
@@ -261,15 +263,15 @@
         return id.startsWith("query:") ? query.getOrDefault(id.substring(6), "") : hit.more().getOrDefault(id, "");
     }
 
-    /** The session id of CMCD (CTA-5004); empty where there is none or it can't be read. */
-    static String sid(String cmcd) {
-        if (cmcd.isEmpty() || !cmcd.contains("sid")) {
+    /** A text of CMCD (CTA-5004), such as sid; empty where there is none or it can't be read. */
+    static String cmcd(String text, String name) {
+        if (text.isEmpty() || !text.contains(name)) {
             return "";
         }
         try {
-            Dictionary keys = new Parser(cmcd).parseDictionary();
-            ListElement<?> sid = keys.get().get("sid");
-            return sid instanceof StringItem s ? s.get() : "";
+            Dictionary keys = new Parser(text).parseDictionary();
+            ListElement<?> found = keys.get().get(name);
+            return found instanceof StringItem s ? s.get() : "";
         } catch (ParseException e) {
             return "";
         }
--- /dev/null
+++ b/src/main/java/cypressvalve/load/replay/Replay.java
@@ -0,0 +1,149 @@
+package cypressvalve.load.replay;
+
+import cypressvalve.config.Service;
+import cypressvalve.load.sessions.Played;
+import cypressvalve.load.trace.TraceReader;
+import cypressvalve.standin.Player;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import org.HdrHistogram.Histogram;
+
+/**
+ * Drives gateways with a trace, open loop: each request leaves when it is due, whatever became of those before it.
+ * Measures its own lateness; one that was late beyond its bound proves nothing about the gateways.
+ */
+public final class Replay {
+    private static final long SECOND = 1_000_000_000L;
+    /** How far ahead of their time playbacks are read: well over a pause of the driver's own. */
+    private static final long AHEAD = 2 * SECOND;
+    private static final long LONGEST = 60 * SECOND;
+
+    private final Path trace;
+    private final Plan plan;
+    private final Names names;
+    private final Service service;
+    private final Player.World world;
+    private final Histogram lateness = new Histogram(LONGEST, 3);
+    private final AtomicLong sent = new AtomicLong();
+    private final AtomicLong notSent = new AtomicLong();
+    private final Map<Player, Boolean> active = new ConcurrentHashMap<>();
+
+    /** @param world whose habits retry by themselves only where the plan says so */
+    public Replay(Path trace, Plan plan, Names names, Service service, Player.World world) {
+        this.trace = trace;
+        this.plan = plan;
+        this.names = names;
+        this.service = service;
+        this.world = world;
+    }
+
+    /**
+     * What a run came to.
+     *
+     * @param late how late requests left, nanoseconds
+     */
+    public record Result(long sent, long notSent, Histogram late, long lateBound) {
+        /** Whether the driver was slow or short of connections, so that the run shows nothing. */
+        public boolean isVoid() {
+            return notSent > 0 || late.getTotalCount() > 0 && late.getValueAtPercentile(99) > lateBound;
+        }
+
+        /** One line about it. */
+        public String text() {
+            return String.format(Locale.ROOT, "sent %d, not sent %d; driver late ms p50 %.1f p99 %.1f most %.1f (bound"
+                + " at p99 %.0f)%s", sent, notSent, late.getValueAtPercentile(50) / 1e6,
+                late.getValueAtPercentile(99) / 1e6, late.getMaxValue() / 1e6, lateBound / 1e6,
+                isVoid() ? "; VOID: the driver could not keep up" : "");
+        }
+    }
+
+    /**
+     * Replays to the end and until the last viewer has had its time.
+     *
+     * @param progress told each second
+     */
+    public Result run(Consumer<String> progress) throws IOException, InterruptedException {
+        long began = System.nanoTime();
+        long told = began;
+        long last = 0;
+        try (TraceReader in = TraceReader.open(trace)) {
+            began = System.nanoTime();
+            world.tape().put("replay", "begins", "from", in.header().getBegins() + plan.from(), "speed", plan.speed(),
+                "share", plan.share(), "of", plan.of(), "retries", plan.retries().name().toLowerCase(Locale.ROOT));
+            Schedule schedule = new Schedule(plan, in.header().getBegins());
+            for (Played p = in.next(); p != null && !schedule.past(p); p = in.next()) {
+                List<Schedule.Due> due = schedule.of(p);
+                if (due.isEmpty()) {
+                    continue;
+                }
+                Player player = new Player(world, viewer(p, schedule.length(p)));
+                for (Schedule.Due d : due) {
+                    long at = began + d.at();
+                    last = Math.max(last, d.at() + schedule.length(p));
+                    world.timers().schedule(() -> leave(player, at), at - System.nanoTime(), TimeUnit.NANOSECONDS);
+                }
+                while (began + due.get(0).at() - System.nanoTime() > AHEAD) {
+                    told = tell(began, told, progress);
+                    TimeUnit.MILLISECONDS.sleep(100);
+                }
+            }
+        }
+        long patience = service.plans().values().stream().mapToLong(Service.PlanRow::abandon).max().orElse(0);
+        while (System.nanoTime() < began + last + patience) {
+            told = tell(began, told, progress);
+            TimeUnit.MILLISECONDS.sleep(100);
+        }
+        world.tape().put("replay", "ends", "sent", sent.get(), "notSent", notSent.get(), "lateP99",
+            lateness.getValueAtPercentile(99));
+        return new Result(sent.get(), notSent.get(), lateness.copy(), plan.lateBound());
+    }
+
+    private Player.Viewer viewer(Played p, long length) {
+        Service.PlanRow row = service.plans().get(names.plan(p));
+        int top = service.ladder().length - 1;
+        int screen = p.screen() < 0 ? top : Math.min(top, p.screen());
+        long patience = p.patience() > 0 ? Math.min(p.patience(), row.abandon()) : row.abandon();
+        return new Player.Viewer(Long.toHexString(p.keys().isEmpty() ? p.at() : p.keys().get(0)) + "-" + p.at() % SECOND,
+            names.title(p), row.name(), names.tenant(p), screen, row.live(),
+            Math.max(length, service.segment()), p.hint() > 0 ? p.hint() : Math.max(1, p.length() / SECOND),
+            Math.max(1, (patience + SECOND - 1) / SECOND) * SECOND);
+    }
+
+    private void leave(Player player, long due) {
+        synchronized (lateness) {
+            lateness.recordValue(Math.max(0, Math.min(LONGEST, System.nanoTime() - due)));
+        }
+        if (active.size() >= plan.connections()) {
+            active.keySet().removeIf(Player::over);
+        }
+        if (active.size() >= plan.connections() && !active.containsKey(player)) {
+            notSent.incrementAndGet();
+            return;
+        }
+        active.put(player, true);
+        sent.incrementAndGet();
+        player.ask();
+    }
+
+    private long tell(long began, long told, Consumer<String> progress) {
+        long now = System.nanoTime();
+        if (now - told < SECOND) {
+            return told;
+        }
+        active.keySet().removeIf(Player::over);
+        long p99;
+        synchronized (lateness) {
+            p99 = lateness.getValueAtPercentile(99);
+        }
+        progress.accept(String.format(Locale.ROOT, "%4d s  sent %d  viewers %d  driver late p99 %.1f ms",
+            (now - began) / SECOND, sent.get(), active.size(), p99 / 1e6));
+        return now;
+    }
+}
--- a/src/main/java/cypressvalve/load/sessions/Sessionizer.java
+++ b/src/main/java/cypressvalve/load/sessions/Sessionizer.java
@@ -204,8 +204,8 @@
     }
 
     private Visit fetchedTwice(Step s) {
-        return s.newest(v -> s.same(v) && v.started && (v.sure && s.m.sure()
-            || v.segments == 0 && s.m.at() - v.lastTryAt <= TWICE && s.m.served()));
+        return s.newest(v -> s.same(v) && v.started && s.m.served() && s.m.at() - v.lastTryAt <= TWICE
+            && (v.sure ? v.keys.containsAll(s.m.keys()) : v.segments == 0));
     }
 
     /** Within the window lines may be in any order: a segment's line just before that of its manifest. */
--- a/src/main/java/cypressvalve/rehearsal/Rehearsal.java
+++ b/src/main/java/cypressvalve/rehearsal/Rehearsal.java
@@ -3,13 +3,13 @@
 import cypressvalve.judge.Finding;
 import cypressvalve.judge.Judge;
 import cypressvalve.standin.Player;
+import cypressvalve.standin.PlayerRoom;
 import cypressvalve.tape.Tape;
 import cypressvalve.trouble.Crowd;
 import cypressvalve.trouble.DayScript;
 import java.io.IOException;
-import java.net.http.HttpClient;
+import java.nio.file.Path;
 import java.security.GeneralSecurityException;
-import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -27,10 +27,17 @@
 
     private final DayScript day;
     private final Tape tape;
+    private final Path accessLogs;
     private final Judge judge = new Judge();
     private final Summary summary = new Summary();
 
     public Rehearsal(DayScript day, Tape tape) {
+        this(day, tape, null);
+    }
+
+    /** @param accessLogs the directory of the gateways' and media hosts' access logs, null for none */
+    public Rehearsal(DayScript day, Tape tape, Path accessLogs) {
+        this.accessLogs = accessLogs;
         this.day = day;
         this.tape = tape;
         tape.also(judge::accept);
@@ -44,10 +51,9 @@
      * @return findings by rule; empty lists where the rule was kept
      */
     public Map<Integer, List<Finding>> play(Consumer<String> progress) throws IOException, InterruptedException {
-        ScheduledExecutorService timers = Executors.newSingleThreadScheduledExecutor(daemon("players"));
-        ScheduledExecutorService troubles = Executors.newSingleThreadScheduledExecutor(daemon("troubles"));
-        var callbacks = Executors.newFixedThreadPool(2, daemon("player-http"));
-        try (Stage stage = new Stage(day, tape)) {
+        ScheduledExecutorService troubles = Executors.newSingleThreadScheduledExecutor(PlayerRoom.daemon("troubles"));
+        try (PlayerRoom room = new PlayerRoom(); Stage stage = new Stage(day, tape, accessLogs)) {
+            ScheduledExecutorService timers = room.timers();
             List<Crowd.Coming> crowd = Crowd.of(day);
             Map<Crowd.Coming, Map.Entry<Integer, String>> resumed = new HashMap<>();
             Random first = new Random(day.seed() * 7 + 1);
@@ -58,11 +64,9 @@
                 }
             }
             stage.startGateways();
-            HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).executor(callbacks)
-                .connectTimeout(Duration.ofSeconds(1)).followRedirects(HttpClient.Redirect.NEVER).build();
             RandomGenerator chance = RandomGeneratorFactory.of("L64X128MixRandom").create(day.seed());
             DayScript.Viewers v = day.viewers();
-            Player.World world = new Player.World(http, timers, tape, () -> {
+            Player.World world = new Player.World(room.http(), timers, tape, () -> {
                 synchronized (chance) {
                     return chance.nextInt(day.gateways().count());
                 }
@@ -96,9 +100,7 @@
         } catch (GeneralSecurityException e) {
             throw new IllegalStateException(e);
         } finally {
-            timers.shutdownNow();
             troubles.shutdownNow();
-            callbacks.shutdownNow();
         }
         return judge.finish();
     }
@@ -107,12 +109,4 @@
     public Summary summary() {
         return summary;
     }
-
-    private static java.util.concurrent.ThreadFactory daemon(String name) {
-        return task -> {
-            Thread thread = new Thread(task, name);
-            thread.setDaemon(true);
-            return thread;
-        };
-    }
 }
--- a/src/main/java/cypressvalve/rehearsal/Stage.java
+++ b/src/main/java/cypressvalve/rehearsal/Stage.java
@@ -1,5 +1,6 @@
 package cypressvalve.rehearsal;
 
+import cypressvalve.accesslog.AccessLog;
 import cypressvalve.config.GatewaySettings;
 import cypressvalve.config.HostFile;
 import cypressvalve.config.Service;
@@ -43,6 +44,8 @@
 
     private final DayScript day;
     private final Tape tape;
+    private final Path accessLogs;
+    private final GatewaySettings.Limits limits;
     private final List<Uplink> uplinks = new ArrayList<>();
     private final List<MediaHostServer> hosts = new ArrayList<>();
     private final double[] weights;
@@ -59,6 +62,18 @@
     private long openedAt = Long.MAX_VALUE;
 
     public Stage(DayScript day, Tape tape) throws IOException {
+        this(day, tape, null);
+    }
+
+    /** @param accessLogs the directory of the gateways' and media hosts' access logs, null for none */
+    public Stage(DayScript day, Tape tape, Path accessLogs) throws IOException {
+        this(day, tape, accessLogs, GatewaySettings.Limits.DEFAULT);
+    }
+
+    /** @param limits of each gateway */
+    public Stage(DayScript day, Tape tape, Path accessLogs, GatewaySettings.Limits limits) throws IOException {
+        this.accessLogs = accessLogs;
+        this.limits = limits;
         this.day = day;
         this.tape = tape;
         keys = Files.createTempFile("cypressvalve-keys", ".json");
@@ -77,7 +92,8 @@
             double link = day.hosts().link() * spread(day.hosts().linkSpread(), chance);
             weights[i] = RATED;
             states[i] = "active";
-            MediaHostServer host = new MediaHostServer(spec(i, link), uplinks.get(i % service.fleet().racks()), tape);
+            MediaHostServer host = new MediaHostServer(spec(i, link), uplinks.get(i % service.fleet().racks()), tape,
+                accessLogs == null ? null : new AccessLog(accessLogs.resolve("host-" + i + ".log")));
             host.start(true);
             hosts.add(host);
         }
@@ -91,7 +107,7 @@
     private HostSpec spec(int i, double link) {
         DayScript.Hosts h = day.hosts();
         return spec(new HostFile(i, 0, true, link, 0, h.cores(), h.queue(), h.work(), h.vary(), h.lease(), h.noise(),
-            day.seed() * 1009 + i, day.service()));
+            day.seed() * 1009 + i, null, day.service()));
     }
 
     /** What a stand-in media host needs to know, from its settings. */
@@ -147,9 +163,9 @@
     /** Starts a gateway of that number, or starts it anew. */
     public synchronized GatewayNode startGateway(int number) {
         GatewaySettings settings = new GatewaySettings(number, day.gateways().count(), "", "127.0.0.1", 0,
-            day.seed() * 7919 + number + 100_003L * lives++, URI.create(list.uri()), keys,
-            tape.now() < openedAt + BEGINNING, 0, 43_200_000_000_000L,
-            GatewaySettings.Limits.DEFAULT, HostLimits.DEFAULT, day.service());
+            day.seed() * 7919 + number + 100_003L * lives++, URI.create(list.uri()), keys, accessLogs == null
+                ? null : accessLogs.resolve("gateway-" + number + ".log"), tape.now() < openedAt + BEGINNING, 0, 43_200_000_000_000L,
+            limits, HostLimits.DEFAULT, day.service());
         GatewayNode node = new GatewayNode(settings, Clock.anchored(), cause -> {
             failure.compareAndSet(null, cause);
             tape.put("gateway", "down", "gateway", number, "why", String.valueOf(cause));
--- a/src/main/java/cypressvalve/run/GatewayNode.java
+++ b/src/main/java/cypressvalve/run/GatewayNode.java
@@ -2,6 +2,8 @@
 
 import static net.logstash.logback.argument.StructuredArguments.kv;
 
+import cypressvalve.accesslog.AccessLog;
+import cypressvalve.accesslog.AccessLogHandler;
 import cypressvalve.config.BadSettings;
 import cypressvalve.config.GatewaySettings;
 import cypressvalve.fleet.ListClient;
@@ -59,6 +61,7 @@
     private final SessionCore core;
     private final GatewayMetrics metrics;
     private final Undertow server;
+    private final AccessLog accessLog;
     private final CountDownLatch listed = new CountDownLatch(1);
     private final AtomicBoolean killed = new AtomicBoolean();
 
@@ -93,7 +96,8 @@
         client = new HttpHostClient(thread, settings.number(), settings.hosts(), notes);
         core = new SessionCore(settings.service(),
             settings.service().control(settings.number(), settings.of(), settings.zone()), settings.seed(), clock,
-            new XnioLoop(thread), client, list, settings.limits().sessions(), metrics, onFailure);
+            new XnioLoop(thread), client, list, settings.limits().sessions(), settings.limits().admission(), metrics,
+            onFailure);
         notes.core = core;
         metrics.bind(core);
         HttpHandler hls = new EncodingHandler(new HlsFront(core, uris, settings.uriExpiry()),
@@ -106,9 +110,11 @@
             exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/plain; version=0.0.4");
             exchange.getResponseSender().send(metrics.scrape());
         });
+        accessLog = accessLog(settings);
+        HttpHandler all = accessLog == null ? paths : new AccessLogHandler(paths, accessLog);
         GatewaySettings.Limits limits = settings.limits();
         server = Undertow.builder().setWorker(worker)
-            .addHttpListener(settings.listenPort(), settings.listenHost(), paths)
+            .addHttpListener(settings.listenPort(), settings.listenHost(), all)
             .setServerOption(UndertowOptions.MAX_HEADER_SIZE, limits.headerBytes())
             .setServerOption(UndertowOptions.MAX_HEADERS, limits.headers())
             .setServerOption(UndertowOptions.MAX_PARAMETERS, limits.parameters())
@@ -120,6 +126,14 @@
             .setSocketOption(Options.BACKLOG, 1024).setSocketOption(Options.REUSE_ADDRESSES, true).build();
     }
 
+    private static AccessLog accessLog(GatewaySettings settings) {
+        try {
+            return settings.accessLog() == null ? null : new AccessLog(settings.accessLog());
+        } catch (IOException e) {
+            throw new BadSettings(List.of(settings.accessLog() + ":1: expected a file to write the access log to: " + e));
+        }
+    }
+
     private static SessionUris uris(GatewaySettings settings) {
         try {
             return new SessionUris(settings.keys() == null ? SessionUris.freshKeys()
@@ -242,5 +256,8 @@
             Thread.currentThread().interrupt();
         }
         worker.shutdownNow();
+        if (accessLog != null) {
+            accessLog.close();
+        }
     }
 }
--- a/src/main/java/cypressvalve/session/CoreEvents.java
+++ b/src/main/java/cypressvalve/session/CoreEvents.java
@@ -1,5 +1,6 @@
 package cypressvalve.session;
 
+import cypressvalve.admission.Gate;
 import cypressvalve.model.Verdict;
 
 /** What the core tells its metrics; times in nanoseconds. */
@@ -18,6 +19,9 @@
     /** A playing session ended. */
     default void ended(Session.End end) { }
 
+    /** A request did not reach the decisions. */
+    default void refused(Gate.Refusal why, String tenant) { }
+
     /** How long a task of the core waited for the loop. */
     default void loopDelay(long waited) { }
 }
--- a/src/main/java/cypressvalve/session/SessionCore.java
+++ b/src/main/java/cypressvalve/session/SessionCore.java
@@ -3,6 +3,7 @@
 import static net.logstash.logback.argument.StructuredArguments.kv;
 
 import cypressvalve.Control;
+import cypressvalve.admission.Gate;
 import cypressvalve.Gateway;
 import cypressvalve.config.Service;
 import cypressvalve.fleet.ListEntry;
@@ -67,14 +68,18 @@
     private Loop.Cancel wake;
     private long wakeTime;
     private Loop.Cancel sweep;
+    private Loop.Cancel look;
+    private final Gate gate;
 
     /**
      * @param settings this gateway's own, made by {@link Service#control}
      * @param mostSessions playbacks held at once; further requests are rejected before any decision
+     * @param admission bounds on requests that wait for an answer
      * @param onFailure told once if the decisions fail; the core then serves nothing any more
      */
     public SessionCore(Service service, Settings settings, long seed, Clock clock, Loop loop, HostClient client,
-        ListFollower follower, int mostSessions, CoreEvents events, Consumer<Throwable> onFailure) {
+        ListFollower follower, int mostSessions, Gate.Limits admission, CoreEvents events,
+        Consumer<Throwable> onFailure) {
         this.service = service;
         this.settings = settings;
         this.clock = clock;
@@ -85,6 +90,9 @@
         this.events = events;
         this.onFailure = onFailure;
         ids = new SessionIds(settings.me);
+        double[] shares = new double[settings.tenants.size()];
+        settings.tenants.forEach((name, number) -> shares[number] = service.tenants().get(name));
+        gate = new Gate(admission, shares, clock.now());
         control = new Control(settings, seed, clock.now(), this);
         service.titles().values().forEach(row -> {
             Title title = new Title(row.key());
@@ -97,6 +105,12 @@
     public void start() {
         input(() -> { });
         sweepLater(clock.now());
+        lookLater(clock.now());
+    }
+
+    /** What requests to watch go through before they are decided on. */
+    public Gate gate() {
+        return gate;
     }
 
     public Service service() {
@@ -156,6 +170,13 @@
             answer.rejected(0);
             return null;
         }
+        Gate.Refusal refusal = gate.ask(tenant(ask), clock.now());
+        if (refusal != null) {
+            events.refused(refusal, ask.tenant());
+            events.answered("rejected", ask.plan(), 0);
+            answer.rejected(gate.comeBackIn(clock.now()));
+            return null;
+        }
         Playback pb = playback(ids.next(), ask);
         Session session = new Session(ask, service.titles().get(ask.title()), pb);
         session.waiting.add(answer);
@@ -173,11 +194,15 @@
         return session;
     }
 
+    private int tenant(Ask ask) {
+        return settings.tenants.getOrDefault(ask.tenant(), -1);
+    }
+
     private Playback playback(String id, Ask ask) {
         Playback pb = new Playback(id);
         pb.plan = settings.plansByName.get(ask.plan());
         pb.title = titles.get(ask.title());
-        pb.tenant = settings.tenants.getOrDefault(ask.tenant(), -1);
+        pb.tenant = tenant(ask);
         pb.ceiling = ask.ceiling();
         pb.hint = ask.hint();
         return pb;
@@ -208,6 +233,7 @@
         } else if (session.state == Session.State.OPENING) {
             session.end = end;
             session.state = Session.State.ENDED;
+            gate.closed(tenant(session.ask()));
             drop(session);
             input(() -> {
                 control.over(session.playback);
@@ -414,6 +440,7 @@
             return;
         }
         session.state = Session.State.PLAYING;
+        gate.closed(tenant(session.ask()));
         session.host = address;
         session.hostName = Session.name(session.playback);
         session.begunAt = System.nanoTime();
@@ -456,7 +483,8 @@
 
     @Override
     public void reject(Playback pb, long comeBackIn) {
-        unserved(pb, Session.End.REJECTED, "rejected", a -> a.rejected(comeBackIn));
+        long in = gate.paced() ? Math.max(comeBackIn, gate.comeBackIn(now())) : comeBackIn;
+        unserved(pb, Session.End.REJECTED, "rejected", a -> a.rejected(in));
     }
 
     @Override
@@ -469,6 +497,7 @@
         if (session != null) {
             session.state = Session.State.ENDED;
             session.end = end;
+            gate.closed(tenant(session.ask()));
             drop(session);
             answer(session, outcome, how);
         }
@@ -598,6 +627,22 @@
         if (sweep != null) {
             sweep.cancel();
         }
+        if (look != null) {
+            look.cancel();
+        }
+    }
+
+    /** How often the loop's lateness is looked at: a small part of what would hurt a startup target. */
+    private static final long LOOK = 25_000_000L;
+
+    private void lookLater(long since) {
+        look = loop.executeAfter(() -> {
+            if (!closed) {
+                long at = clock.now();
+                gate.looked(at, Math.max(0, at - since - LOOK));
+                lookLater(clock.now());
+            }
+        }, LOOK);
     }
 
     private void sweepLater(long due) {
--- a/src/main/java/cypressvalve/standin/MediaHostServer.java
+++ b/src/main/java/cypressvalve/standin/MediaHostServer.java
@@ -1,6 +1,8 @@
 package cypressvalve.standin;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import cypressvalve.accesslog.AccessLog;
+import cypressvalve.accesslog.AccessLogHandler;
 import cypressvalve.tape.Tape;
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
@@ -70,6 +72,7 @@
     private final Map<Integer, ServerSentEventConnection> notes = new HashMap<>();
     private final Deque<Long> arrivals = new ArrayDeque<>();
     private Undertow server;
+    private final AccessLog accessLog;
     private volatile int port;
     private int working;
     private int life;
@@ -106,6 +109,12 @@
     }
 
     public MediaHostServer(HostSpec spec, Uplink uplink, Tape tape) {
+        this(spec, uplink, tape, null);
+    }
+
+    /** @param accessLog where its requests are written, null for nowhere; closed with the host */
+    public MediaHostServer(HostSpec spec, Uplink uplink, Tape tape, AccessLog accessLog) {
+        this.accessLog = accessLog;
         this.spec = spec;
         this.uplink = uplink;
         this.tape = tape;
@@ -152,7 +161,8 @@
      */
     public void start(boolean warm) {
         Undertow fresh = Undertow.builder().setWorker(worker)
-            .addHttpListener(port, "127.0.0.1", this::handle)
+            .addHttpListener(port, "127.0.0.1",
+                accessLog == null ? this::handle : new AccessLogHandler(this::handle, accessLog))
             .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
             .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, 60_000)
             .setSocketOption(Options.REUSE_ADDRESSES, true).build();
@@ -201,6 +211,9 @@
     public void close() {
         crash();
         worker.shutdown();
+        if (accessLog != null) {
+            accessLog.close();
+        }
     }
 
     private void die(String kind) {
--- a/src/main/java/cypressvalve/standin/Player.java
+++ b/src/main/java/cypressvalve/standin/Player.java
@@ -27,6 +27,8 @@
  */
 public final class Player {
     private static final long SECOND = 1_000_000_000L;
+    /** A custom key of CMCD (CTA-5004, section 3.2): the session that a viewer first came with. */
+    private static final String FIRST = "org.cypressvalve-first";
 
     /** What all players share. */
     public record World(HttpClient http, ScheduledExecutorService timers, Tape tape, IntSupplier gateway,
@@ -63,6 +65,8 @@
     /** When what was fetched has all been played; 0 before the first segment. */
     private long runsOut;
     private boolean over;
+    /** Counts its requests made anew from outside: what was begun before is let go. */
+    private int turn;
     private List<String> segments = List.of();
 
     public Player(World world, Viewer viewer) {
@@ -72,10 +76,26 @@
 
     /** Begins to ask; everything after runs on the world's timers. */
     public void start() {
-        world.timers().execute(() -> {
-            until = System.nanoTime() + viewer.length() + viewer.abandon();
-            ask(false);
-        });
+        world.timers().execute(this::ask);
+    }
+
+    /** Asks now, on the world's timers' thread: for the first time, or once more whatever became of the last time. */
+    public void ask() {
+        boolean again = asks > 0;
+        if (again) {
+            end();
+            lives++;
+        }
+        turn++;
+        over = false;
+        watched = 0;
+        until = System.nanoTime() + viewer.length() + viewer.abandon();
+        ask(again);
+    }
+
+    /** Whether it neither plays nor waits for an answer. */
+    public boolean over() {
+        return over;
     }
 
     /** Goes on with a session that plays already; its media playlist lies at the path on that gateway. */
@@ -107,6 +127,7 @@
             return;
         }
         int gateway = world.gateway().getAsInt();
+        int mine = turn;
         String id = viewer.name() + "#" + asks++;
         String uri = world.gatewayUri().apply(gateway);
         long began = System.nanoTime();
@@ -121,7 +142,8 @@
                 + encoded(viewer.plan()) + "&tenant=" + encoded(viewer.tenant()) + "&screen=" + viewer.screen()
                 + (viewer.hint() > 0 ? "&hint=" + viewer.hint() : "")))
             .header("Prefer", "wait=" + viewer.abandon() / SECOND)
-            .header("CMCD-Session", "sid=\"" + sid + "-" + lives + "\"")
+            .header("CMCD-Session", "sid=\"" + sid + "-" + lives + "\""
+                + (lives > 0 ? "," + FIRST + "=\"" + sid + "-0\"" : ""))
             .timeout(Duration.ofNanos(viewer.abandon() + SECOND / 2)).build();
         world.http().sendAsync(request, HttpResponse.BodyHandlers.ofString())
             .whenCompleteAsync((response, failure) -> {
@@ -130,10 +152,15 @@
                     boolean reached = !(cause(failure) instanceof ConnectException
                         || cause(failure) instanceof HttpConnectTimeoutException);
                     put(reached ? "no-answer" : "unreached", "ask", id, "why", String.valueOf(cause(failure)));
-                    comeAgain(-1);
+                    if (mine == turn) {
+                        comeAgain(-1);
+                    }
                     return;
                 }
                 put("answer", "ask", id, "status", response.statusCode(), "took", took);
+                if (mine != turn) {
+                    return;
+                }
                 if (response.statusCode() == 200) {
                     put("manifest", "uri", request.uri().toString(), "text", response.body());
                     playing(uri, response.body());
@@ -189,8 +216,12 @@
     }
 
     private void refresh() {
+        int mine = turn;
+        if (media == null) {
+            return;
+        }
         get(media).whenCompleteAsync((response, failure) -> {
-            if (over) {
+            if (over || mine != turn) {
                 return;
             }
             if (failure != null || response.statusCode() != 200) {
@@ -212,6 +243,7 @@
     }
 
     private void fetch() {
+        int mine = turn;
         if (over) {
             return;
         }
@@ -224,14 +256,14 @@
         long index = nextSegment - liveEdge;
         if (index >= segments.size()) {
             if (viewer.live()) {
-                world.timers().schedule(this::refresh, world.segment() / 2, TimeUnit.NANOSECONDS);
+                world.timers().schedule(() -> goOn(mine, this::refresh), world.segment() / 2, TimeUnit.NANOSECONDS);
             } else {
                 leave();
             }
             return;
         }
         if (runsOut > 0 && runsOut - System.nanoTime() > world.habits().buffer() * SECOND) {
-            world.timers().schedule(this::fetch, world.segment() / 4, TimeUnit.NANOSECONDS);
+            world.timers().schedule(() -> goOn(mine, this::fetch), world.segment() / 4, TimeUnit.NANOSECONDS);
             return;
         }
         String uri = URI.create(media).resolve(segments.get((int) index)).toString();
@@ -240,6 +272,9 @@
             .timeout(Duration.ofNanos(world.habits().starve())).build();
         world.http().sendAsync(request, HttpResponse.BodyHandlers.discarding())
             .whenCompleteAsync((response, failure) -> {
+                if (mine != turn) {
+                    return;
+                }
                 if (failure != null || response.statusCode() != 302) {
                     broken(failure != null ? "gateway" : "status-" + response.statusCode());
                     return;
@@ -248,7 +283,14 @@
             }, world.timers());
     }
 
+    private void goOn(int mine, Runnable what) {
+        if (mine == turn) {
+            what.run();
+        }
+    }
+
     private void bytes(String location, long began) {
+        int mine = turn;
         AtomicLong count = new AtomicLong();
         HttpRequest request = HttpRequest.newBuilder(URI.create(location)).build();
         CompletableFuture<HttpResponse<Void>> transfer = world.http().sendAsync(request,
@@ -258,7 +300,7 @@
             world.habits().starve() + (long) (world.habits().buffer() * SECOND), TimeUnit.NANOSECONDS);
         transfer.whenCompleteAsync((response, failure) -> {
             starved.cancel(false);
-            if (over) {
+            if (over || mine != turn) {
                 return;
             }
             String rung = location.split("/").length > 5 ? location.split("/")[5] : "";
--- a/src/main/java/cypressvalve/telemetry/GatewayMetrics.java
+++ b/src/main/java/cypressvalve/telemetry/GatewayMetrics.java
@@ -1,5 +1,6 @@
 package cypressvalve.telemetry;
 
+import cypressvalve.admission.Gate;
 import cypressvalve.model.MediaHost;
 import cypressvalve.model.Verdict;
 import cypressvalve.session.CoreEvents;
@@ -46,6 +47,11 @@
         time("cypressvalve.tries", took, Tag.of("verdict", word(verdict)));
     }
 
+    @Override
+    public void refused(Gate.Refusal why, String tenant) {
+        count("cypressvalve.admission.refused", Tag.of("limit", word(why)), Tag.of("tenant", tenant));
+    }
+
     @Override
     public void rungStep(int to) {
         count("cypressvalve.rung.steps", Tag.of("to", String.valueOf(to)));
@@ -67,6 +73,8 @@
 
     /** What the core holds, read when asked for: on the core's loop only. */
     public void bind(SessionCore core) {
+        Gauge.builder("cypressvalve.admission.open", () -> core.gate().open()).tags(own).register(registry);
+        Gauge.builder("cypressvalve.admission.pace", () -> core.gate().pace()).tags(own).register(registry);
         for (Session.State state : Session.State.values()) {
             Gauge.builder("cypressvalve.sessions", () -> core.held(state)).tags(own).tag("state", word(state))
                 .register(registry);
--- a/src/test/java/cypressvalve/ArchitectureTest.java
+++ b/src/test/java/cypressvalve/ArchitectureTest.java
@@ -18,7 +18,9 @@
     @ArchTest
     static final ArchRule DECISIONS_DO_NO_IO = noClasses().that().haveFullyQualifiedName("cypressvalve.Control")
         .or().resideInAnyPackage("cypressvalve.model..", "cypressvalve.judge..")
-        .or().resideInAnyPackage("cypressvalve.load.sessions..")
+        .or().resideInAnyPackage("cypressvalve.load.sessions..", "cypressvalve.admission..")
+        .or().haveFullyQualifiedName("cypressvalve.load.replay.Schedule")
+        .or().haveFullyQualifiedName("cypressvalve.load.replay.Match")
         .or().haveSimpleName("Silence").or().haveSimpleName("ClockBound")
         .should().dependOnClassesThat().resideInAnyPackage(IO)
         .orShould().callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis");
--- a/src/test/java/cypressvalve/rehearsal/Scene.java
+++ b/src/test/java/cypressvalve/rehearsal/Scene.java
@@ -1,6 +1,8 @@
 package cypressvalve.rehearsal;
 
+import cypressvalve.admission.Gate;
 import cypressvalve.config.Doc;
+import cypressvalve.config.GatewaySettings;
 import cypressvalve.judge.Finding;
 import cypressvalve.judge.Judge;
 import cypressvalve.standin.MediaHostServer;
@@ -57,6 +59,10 @@
     }
 
     private Scene(String script) throws IOException, InterruptedException {
+        this(script, GatewaySettings.Limits.DEFAULT);
+    }
+
+    private Scene(String script, GatewaySettings.Limits limits) throws IOException, InterruptedException {
         Doc doc = Doc.parse("scene", script);
         DayScript day = DayScript.read(doc);
         doc.verify();
@@ -67,7 +73,7 @@
                 records.notifyAll();
             }
         });
-        stage = new Stage(day, tape);
+        stage = new Stage(day, tape, null, limits);
         stage.startGateways();
     }
 
@@ -83,6 +89,15 @@
             .replace("cores: 4", "cores: 64, queue: 5000"));
     }
 
+    /** A scene of one gateway and one host, with so many open requests at most. */
+    static Scene flooded(int open) throws IOException, InterruptedException {
+        GatewaySettings.Limits d = GatewaySettings.Limits.DEFAULT;
+        return new Scene(DAY.replace("GATEWAYS", "1").replace("HOSTS", "1").replace("WORK", "1ms")
+            .replace("COLD", "{time: 0s}"), new GatewaySettings.Limits(d.sessions(), d.connections(), d.headerBytes(),
+                d.headers(), d.parameters(), d.requestTimeout(), d.idleTimeout(),
+                new Gate.Limits(open, d.admission().late())));
+    }
+
     /** One request to watch, and what came of it. */
     final class Viewer {
         final String name;
@@ -188,11 +203,20 @@
 
     /** Waits until the gateway holds so many sessions that play. */
     void awaitPlaying(int gateway, long count) throws Exception {
+        awaitHeld(gateway, cypressvalve.session.Session.State.PLAYING, count);
+    }
+
+    /** Waits until so many requests are open at the gateway. */
+    void awaitOpening(int gateway, long count) throws Exception {
+        awaitHeld(gateway, cypressvalve.session.Session.State.OPENING, count);
+    }
+
+    private void awaitHeld(int gateway, cypressvalve.session.Session.State state, long count) throws Exception {
         long until = System.nanoTime() + PATIENCE_MS * 1_000_000;
         while (onLoop(gateway, () -> stage.gateway(gateway).core()
-            .held(cypressvalve.session.Session.State.PLAYING)) != count) {
+            .held(state)) != count) {
             if (System.nanoTime() > until) {
-                throw new AssertionError("never " + count + " playing");
+                throw new AssertionError("never " + count + " " + state);
             }
             Thread.onSpinWait();
         }
--- a/src/test/java/cypressvalve/session/SessionCoreTest.java
+++ b/src/test/java/cypressvalve/session/SessionCoreTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertSame;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import cypressvalve.admission.Gate;
 import cypressvalve.config.Doc;
 import cypressvalve.config.Service;
 import cypressvalve.fleet.ListEntry;
@@ -66,7 +67,7 @@
                 public void fetch() {
                     calls.add("fetch list");
                 }
-            }, 5, CoreEvents.NONE, failures::add);
+            }, 5, Gate.Limits.DEFAULT, CoreEvents.NONE, failures::add);
         core.start();
         core.listed(List.of(entry(0, MediaHost.State.ACTIVE), entry(1, MediaHost.State.ACTIVE)), true);
     }
