--- a/src/main/java/cypressvalve/load/replay/StagedReplay.java
+++ b/src/main/java/cypressvalve/load/replay/StagedReplay.java
@@ -6,19 +6,21 @@
 import cypressvalve.load.sessions.Played;
 import cypressvalve.load.trace.TraceReader;
 import cypressvalve.rehearsal.Stage;
+import cypressvalve.rehearsal.StageStruck;
 import cypressvalve.rehearsal.Summary;
-import cypressvalve.rehearsal.TroublePlayer;
 import cypressvalve.standin.Player;
 import cypressvalve.standin.PlayerRoom;
 import cypressvalve.tape.Tape;
 import cypressvalve.tape.TapeRecord;
 import cypressvalve.trouble.DayScript;
+import cypressvalve.trouble.TroublePlayer;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
@@ -77,7 +79,8 @@
                 }
             }, stage::gatewayUri, chance, habits(day.viewers(), plan.retries()), day.service().segment());
             tape.put("rehearsal", "begins");
-            new TroublePlayer(stage, troubles).play();
+            new TroublePlayer(day, new StageStruck(stage), (nanos, task) -> troubles.schedule(task, nanos,
+                TimeUnit.NANOSECONDS), tape).play();
             Replay.Result result = new Replay(trace, plan, names, day.service(), world).run(progress);
             tape.put("rehearsal", "ends");
             if (stage.failure() != null) {
--- a/src/main/java/cypressvalve/load/sessions/ClockWatch.java
+++ b/src/main/java/cypressvalve/load/sessions/ClockWatch.java
@@ -23,6 +23,8 @@
     private static final int ENOUGH = 32;
     /** Fewer than this share of them back says that the others left: nobody was cut off in mid-play. */
     private static final double BACK_SHARE = 0.3;
+    /** So many viewers who play and stop in one moment are no chance: each has some tens of moments to stop in. */
+    private static final int CUT_OFF = 5;
     /** Viewers whose place in their title is remembered. */
     private static final int REMEMBERED = 4096;
 
@@ -166,13 +168,24 @@
         return found.isEmpty() ? held.get(0).at + offset - last : found.get(found.size() / 2);
     }
 
+    /**
+     * Whether viewers stopped in mid-play all in the same moment: each would have asked for its next segment within
+     * twice the usual pace, and people who leave do not leave together.
+     */
+    private boolean cutOff() {
+        long[] paces = places.values().stream().filter(p -> p.pace > 0).mapToLong(Place::pace).sorted().toArray();
+        long usual = paces.length == 0 ? 0 : paces[paces.length / 2];
+        return places.values().stream().filter(p -> p.at >= last - 2 * usual && p.pace > 0).count() >= CUT_OFF;
+    }
+
     private void judge() {
         int next = returned(1);
         int further = returned(2);
         int playing = playing();
         boolean back = next + further > 0 && next + further >= BACK_SHARE * Math.min(ENOUGH, playing);
         long first = held.get(0).at + offset;
-        Gap.Kind kind = !back ? Gap.Kind.SILENCE : next >= further ? Gap.Kind.LEAP : Gap.Kind.LOSS;
+        Gap.Kind kind = back ? next >= further ? Gap.Kind.LEAP : Gap.Kind.LOSS
+            : cutOff() ? Gap.Kind.LOSS : Gap.Kind.SILENCE;
         to.found(new Gap(server, last, first, kind, playing, next + further));
         if (kind == Gap.Kind.LEAP) {
             // Nobody's player stands still for so long and then goes on: the clock did.
--- a/src/main/java/cypressvalve/load/source/LineFormat.java
+++ b/src/main/java/cypressvalve/load/source/LineFormat.java
@@ -1,13 +1,19 @@
 package cypressvalve.load.source;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 /** A format directive made ready to read lines: fields with text between them. */
 final class LineFormat {
     /** A field and the text after it, which may be empty at the line's end only. */
     private record Part(Slot slot, String after, boolean quoted, boolean escaped) { }
 
+    /** Agents repeat by the thousand, and undoing escapes is dear; what is not remembered is only worked out again. */
+    private static final int REMEMBERED = 4096;
+
+    private final Map<String, String> undone = new HashMap<>();
     private final String before;
     private final List<Part> parts = new ArrayList<>();
 
@@ -72,7 +78,7 @@
                     + part.slot.kind().name().toLowerCase(java.util.Locale.ROOT).replace('_', ' '));
             }
             String value = line.substring(from, end);
-            to.take(part.slot, part.escaped ? Escapes.undone(value, from + 1) : value, from + 1);
+            to.take(part.slot, part.escaped ? undone(value, from + 1) : value, from + 1);
             from = end + part.after.length();
         }
         if (from != line.length()) {
@@ -80,6 +86,21 @@
         }
     }
 
+    private String undone(String value, int column) throws BadLine {
+        if (value.indexOf('\\') < 0) {
+            return value;
+        }
+        String known = undone.get(value);
+        if (known == null) {
+            known = Escapes.undone(value, column);
+            if (undone.size() >= REMEMBERED) {
+                undone.clear();
+            }
+            undone.put(value, known);
+        }
+        return known;
+    }
+
     /** The quote that ends a field; one after a backslash belongs to the text. */
     private static int closing(String line, int from) {
         for (int i = from; i < line.length(); i++) {
--- a/src/main/java/cypressvalve/rehearsal/Rehearsal.java
+++ b/src/main/java/cypressvalve/rehearsal/Rehearsal.java
@@ -7,6 +7,7 @@
 import cypressvalve.tape.Tape;
 import cypressvalve.trouble.Crowd;
 import cypressvalve.trouble.DayScript;
+import cypressvalve.trouble.TroublePlayer;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.security.GeneralSecurityException;
@@ -74,7 +75,8 @@
                 v.buffer(), v.starve(), v.silent(), v.retries()), day.service().segment());
             long began = System.nanoTime();
             tape.put("rehearsal", "begins");
-            new TroublePlayer(stage, troubles).play();
+            new TroublePlayer(day, new StageStruck(stage), (nanos, task) -> troubles.schedule(task, nanos,
+                TimeUnit.NANOSECONDS), tape).play();
             crowd.forEach(c -> {
                 Player player = new Player(world, c.viewer());
                 Map.Entry<Integer, String> playing = resumed.get(c);
--- a/src/main/java/cypressvalve/session/SessionCore.java
+++ b/src/main/java/cypressvalve/session/SessionCore.java
@@ -70,6 +70,7 @@
     private Loop.Cancel sweep;
     private Loop.Cancel look;
     private final Gate gate;
+    private final boolean pacing;
 
     /**
      * @param settings this gateway's own, made by {@link Service#control}
@@ -93,6 +94,8 @@
         double[] shares = new double[settings.tenants.size()];
         settings.tenants.forEach((name, number) -> shares[number] = service.tenants().get(name));
         gate = new Gate(admission, shares, clock.now());
+        // Where no lateness counts, as in simulated time, nothing has to be looked at.
+        pacing = admission.late() < Long.MAX_VALUE / 2;
         control = new Control(settings, seed, clock.now(), this);
         service.titles().values().forEach(row -> {
             Title title = new Title(row.key());
@@ -105,7 +108,9 @@
     public void start() {
         input(() -> { });
         sweepLater(clock.now());
-        lookLater(clock.now());
+        if (pacing) {
+            lookLater(clock.now());
+        }
     }
 
     /** What requests to watch go through before they are decided on. */
--- a/src/main/java/cypressvalve/tape/Tape.java
+++ b/src/main/java/cypressvalve/tape/Tape.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 
 /**
  * What the sockets of players, media hosts and the list service carried, one JSON object a line; docs/rehearsal.md
@@ -22,26 +23,36 @@
 public final class Tape implements Closeable {
     private static final ObjectMapper JSON = new ObjectMapper();
 
-    private final long offset;
+    private final LongSupplier clock;
     private final JsonGenerator out;
     private final List<Consumer<TapeRecord>> readers = new ArrayList<>();
 
     /** @param to the file's stream, or null for a tape that only its readers hear */
-    private Tape(OutputStream to) throws IOException {
-        Instant wall = Instant.now();
-        offset = wall.getEpochSecond() * 1_000_000_000L + wall.getNano() - System.nanoTime();
+    private Tape(OutputStream to, LongSupplier clock) throws IOException {
+        this.clock = clock;
         out = to == null ? null : JSON.getFactory().createGenerator(to, JsonEncoding.UTF8).setRootValueSeparator(null);
     }
 
+    private static LongSupplier advancing() {
+        Instant wall = Instant.now();
+        long offset = wall.getEpochSecond() * 1_000_000_000L + wall.getNano() - System.nanoTime();
+        return () -> System.nanoTime() + offset;
+    }
+
     /** A tape in a file, which is replaced. */
     public static Tape file(Path path) throws IOException {
-        return new Tape(new java.io.BufferedOutputStream(Files.newOutputStream(path), 1 << 16));
+        return new Tape(new java.io.BufferedOutputStream(Files.newOutputStream(path), 1 << 16), advancing());
     }
 
     /** A tape that is not kept. */
     public static Tape heard() {
+        return heard(advancing());
+    }
+
+    /** A tape that is not kept, by another clock: nanoseconds since 1970. */
+    public static Tape heard(LongSupplier clock) {
         try {
-            return new Tape(null);
+            return new Tape(null, clock);
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
@@ -54,7 +65,7 @@
 
     /** The time now. */
     public long now() {
-        return System.nanoTime() + offset;
+        return clock.getAsLong();
     }
 
     /**
--- a/src/main/java/cypressvalve/rehearsal/TroublePlayer.java
+++ b/src/main/java/cypressvalve/trouble/TroublePlayer.java
@@ -1,38 +1,43 @@
-package cypressvalve.rehearsal;
+package cypressvalve.trouble;
 
-import cypressvalve.standin.MediaHostServer;
-import cypressvalve.trouble.DayScript;
-import cypressvalve.trouble.Trouble;
+import cypressvalve.tape.Tape;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
 import java.util.stream.IntStream;
 
-/** Plays a day's troubles on a stage. What several do to one link multiplies; what they struck is drawn by the seed. */
+/** Plays a day's troubles on whatever can be struck. What several do to one link multiplies; what they struck is drawn by the seed. */
 public final class TroublePlayer {
     private static final long AGEING_STEP_MS = 500;
 
-    private final Stage stage;
-    private final ScheduledExecutorService timers;
+    /** Runs a task so many nanoseconds from now. */
+    public interface Timers {
+        void after(long nanos, Runnable task);
+    }
+
+    private final DayScript day;
+    private final Struck on;
+    private final Timers timers;
+    private final Tape tape;
     private final Random chance;
     private final Map<Integer, Map<Object, Double>> links = new HashMap<>();
     private final Map<Integer, Map<Object, Double>> racks = new HashMap<>();
 
-    public TroublePlayer(Stage stage, ScheduledExecutorService timers) {
-        this.stage = stage;
+    public TroublePlayer(DayScript day, Struck on, Timers timers, Tape tape) {
+        this.day = day;
+        this.on = on;
         this.timers = timers;
-        chance = new Random(stage.day().seed() * 101 + 13);
+        this.tape = tape;
+        chance = new Random(day.seed() * 101 + 13);
     }
 
     /** Sets timers for all troubles, from now as the day's start. */
     public void play() {
-        for (Trouble trouble : stage.day().troubles()) {
+        for (Trouble trouble : day.troubles()) {
             List<Integer> struck = struck(trouble);
             at(trouble.at(), () -> {
                 told(trouble, struck, true);
@@ -46,26 +51,26 @@
     }
 
     private void at(long nanos, Runnable task) {
-        timers.schedule(() -> {
+        timers.after(nanos, () -> {
             try {
                 task.run();
             } catch (RuntimeException e) {
-                stage.tape().put("rehearsal", "trouble-failed", "why", e.toString());
+                tape.put("rehearsal", "trouble-failed", "why", e.toString());
             }
-        }, nanos, TimeUnit.NANOSECONDS);
+        });
     }
 
     private void told(Trouble t, List<Integer> struck, boolean on) {
-        stage.tape().put("fault", on ? "begins" : "ends", "trouble", t.kind().name().toLowerCase(java.util.Locale.ROOT),
+        tape.put("fault", on ? "begins" : "ends", "trouble", t.kind().name().toLowerCase(java.util.Locale.ROOT),
             "struck", struck, "size", t.size());
     }
 
     private List<Integer> struck(Trouble t) {
         int of = switch (t.kind()) {
-            case ORIGIN_SLOW -> stage.uplinks().size();
-            case BALANCER_CRASH -> stage.day().gateways().count();
+            case ORIGIN_SLOW -> on.racks();
+            case BALANCER_CRASH -> day.gateways().count();
             case BURST, HOT_KEY, DISCOVERY_STALE, LIST_EMPTY -> 0;
-            default -> stage.hosts().size();
+            default -> on.hosts();
         };
         double part = t.kind() == Trouble.Kind.REPORT_LATE ? 1 : t.part();
         List<Integer> all = new ArrayList<>(IntStream.range(0, of).boxed().toList());
@@ -77,7 +82,7 @@
 
     /** Of three cells in a row outages take one at a time, so that a title of three copies is never without any. */
     private List<Integer> spaced(List<Integer> all, int wanted) {
-        int cells = stage.day().service().fleet().cells();
+        int cells = day.service().fleet().cells();
         List<Integer> taken = new ArrayList<>();
         for (int cell : all) {
             if (taken.size() < wanted && taken.stream().noneMatch(o -> {
@@ -92,19 +97,19 @@
 
     private void begin(Trouble t, List<Integer> struck) {
         switch (t.kind()) {
-            case CRASH -> struck.forEach(this::crash);
+            case CRASH -> struck.forEach(on::crash);
             case SLOW -> struck.forEach(h -> link(h, t, 1 / Math.max(1, t.size())));
-            case HANG -> each(struck, h -> h.faults().hang = true);
-            case FAST_ERRORS -> each(struck, h -> h.faults().errors = t.size());
-            case ANSWER_LOST -> each(struck, h -> h.faults().answersLost = true);
+            case HANG -> struck.forEach(h -> on.hang(h, true));
+            case FAST_ERRORS -> struck.forEach(h -> on.errors(h, t.size()));
+            case ANSWER_LOST -> struck.forEach(h -> on.answersLost(h, true));
             case NEIGHBOUR -> neighbour(t, struck, 0);
-            case REPORT_LATE -> each(struck, h -> h.faults().notesLate += (long) (t.size() * 1e9));
-            case DISCOVERY_STALE -> stage.list().stale((long) (t.size() * 1e9));
-            case LIST_EMPTY -> stage.list().dropAll();
-            case BALANCER_CRASH -> struck.forEach(stage::killGateway);
+            case REPORT_LATE -> struck.forEach(h -> on.notesLater(h, (long) (t.size() * 1e9)));
+            case DISCOVERY_STALE -> on.listStale((long) (t.size() * 1e9));
+            case LIST_EMPTY -> on.listEmpty(true);
+            case BALANCER_CRASH -> struck.forEach(g -> on.gateway(g, false));
             case ORIGIN_SLOW -> struck.forEach(r -> rack(r, t, 1 / Math.max(1, t.size())));
             case AGEING -> ageing(t, struck, 0);
-            case DRAIN -> struck.forEach(h -> stage.listed(h, "draining", stage.day().hosts().add()));
+            case DRAIN -> struck.forEach(on::drain);
             case BURST, HOT_KEY -> { } // The crowd is drawn with them.
         }
     }
@@ -113,51 +118,35 @@
         switch (t.kind()) {
             case CRASH, AGEING -> struck.forEach(h -> {
                 link(h, t, 1);
-                restart(h);
+                on.restart(h);
             });
             case SLOW, NEIGHBOUR -> struck.forEach(h -> link(h, t, 1));
-            case HANG -> each(struck, h -> h.faults().hang = false);
-            case FAST_ERRORS -> each(struck, h -> h.faults().errors = 0);
-            case ANSWER_LOST -> each(struck, h -> h.faults().answersLost = false);
-            case REPORT_LATE -> each(struck, h -> h.faults().notesLate -= (long) (t.size() * 1e9));
-            case DISCOVERY_STALE -> stage.list().stale(0);
-            case LIST_EMPTY -> stage.list().republish();
-            case BALANCER_CRASH -> struck.forEach(stage::startGateway);
+            case HANG -> struck.forEach(h -> on.hang(h, false));
+            case FAST_ERRORS -> struck.forEach(h -> on.errors(h, 0));
+            case ANSWER_LOST -> struck.forEach(h -> on.answersLost(h, false));
+            case REPORT_LATE -> struck.forEach(h -> on.notesLater(h, (long) (-t.size() * 1e9)));
+            case DISCOVERY_STALE -> on.listStale(0);
+            case LIST_EMPTY -> on.listEmpty(false);
+            case BALANCER_CRASH -> struck.forEach(g -> on.gateway(g, true));
             case ORIGIN_SLOW -> struck.forEach(r -> rack(r, t, 1));
             case DRAIN -> struck.forEach(h -> {
-                crash(h);
-                restart(h);
+                on.crash(h);
+                on.restart(h);
             });
             case BURST, HOT_KEY -> { }
         }
     }
 
-    private void each(List<Integer> struck, java.util.function.Consumer<MediaHostServer> what) {
-        struck.forEach(h -> what.accept(stage.hosts().get(h)));
-    }
-
-    private void crash(int host) {
-        stage.hosts().get(host).crash();
-        stage.listed(host, "gone", stage.day().hosts().notice());
-    }
-
-    private void restart(int host) {
-        if (!stage.hosts().get(host).fallen()) {
-            stage.hosts().get(host).start(false);
-            stage.listed(host, "active", stage.day().hosts().add());
-        }
-    }
-
     private void link(int host, Trouble by, double part) {
         put(links, host, by, part, all -> {
-            stage.hosts().get(host).faults().link = all;
+            on.link(host, all);
             return all;
         });
     }
 
     private void rack(int rack, Trouble by, double part) {
         put(racks, rack, by, part, all -> {
-            stage.uplinks().get(rack).weaken(all);
+            on.uplink(rack, all);
             return all;
         });
     }
@@ -186,7 +175,7 @@
     private void ageing(Trouble t, List<Integer> struck, int step) {
         double age = step * AGEING_STEP_MS * 1e6 / t.length();
         if (age >= 0.75) {
-            struck.forEach(this::crash);
+            struck.forEach(on::crash);
         } else {
             struck.forEach(h -> link(h, t, Math.max(0.1, 1 - 1.2 * age)));
             at(AGEING_STEP_MS * 1_000_000, () -> ageing(t, struck, step + 1));
