The laboratory compares Control with simple policies; import reads lines faster

Change: viewers in simulated time see a front, behind which the program's core or a baseline (random holder, least loaded, plain hash) decides. Numbers and parts of URIs are read without a regex, lines queue by a plain comparison.

--- a/src/main/java/cypressvalve/lab/Lab.java
+++ b/src/main/java/cypressvalve/lab/Lab.java
@@ -9,7 +9,6 @@
 import cypressvalve.model.MediaHost;
 import cypressvalve.rehearsal.Stage;
 import cypressvalve.rehearsal.Summary;
-import cypressvalve.session.Session;
 import cypressvalve.standin.Player;
 import cypressvalve.tape.Tape;
 import cypressvalve.trouble.Crowd;
@@ -41,6 +40,7 @@
     private static final long BEGINNING = SECOND;
 
     private final DayScript day;
+    private final Policy policy;
     private final Simulation time = new Simulation(BEGINS);
     private final Tape tape;
     private final List<LabUplink> uplinks = new ArrayList<>();
@@ -58,7 +58,13 @@
 
     /** A day with a tape of its own clock; see {@link #tape()}. */
     public Lab(DayScript day) {
+        this(day, Policy.CONTROL);
+    }
+
+    /** @param policy who decides; anything but Control is for comparison */
+    public Lab(DayScript day, Policy policy) {
         this.day = day;
+        this.policy = policy;
         tape = Tape.heard(time::now);
         tape.also(judge::accept);
         tape.also(summary::accept);
@@ -129,8 +135,8 @@
             String name = resumed.get(c);
             if (name != null) {
                 LabGateway gateway = gateways.get(Integer.parseInt(name.substring(1, name.indexOf('-'))));
-                Session session = gateway.core().session(name);
-                time.after(0, () -> viewer.resume(gateway, session));
+                Front.Playing session = gateway.front().playing(name);
+                time.after(0, session == null ? viewer::start : () -> viewer.resume(gateway, session));
             } else {
                 time.after(c.at(), viewer::start);
             }
@@ -309,7 +315,7 @@
             tape.put("gateway", "up", "gateway", number);
             gateways.put(number, new LabGateway(time, day.service(), number, day.gateways().count(),
                 day.seed() * 7919 + number + 100_003L * lives++, hosts, list, ONE_WAY,
-                time.now() < openedAt + BEGINNING, cause -> failure = failure == null ? cause : failure));
+                time.now() < openedAt + BEGINNING, policy, cause -> failure = failure == null ? cause : failure));
         } else {
             LabGateway gateway = gateways.remove(number);
             if (gateway != null) {
--- a/src/main/java/cypressvalve/lab/LabGateway.java
+++ b/src/main/java/cypressvalve/lab/LabGateway.java
@@ -16,21 +16,25 @@
     private static final Gate.Limits ADMISSION = new Gate.Limits(Gate.Limits.DEFAULT.open(), Long.MAX_VALUE / 2);
     private static final int SESSIONS = 20_000;
 
-    private final int number;
-    private final SessionCore core;
-    private final LabClient client;
-    private final LabList list;
+    /** Where a gateway stands: what it may use. */
+    record Place(Simulation time, Service service, int number, int of, long seed, LabClient client, LabList list,
+        boolean takeUp) { }
+
+    private final Place place;
+    private final Front front;
     private final List<Runnable> killed = new ArrayList<>();
     private boolean alive = true;
 
     /** @param takeUp whether it begins with the service */
     LabGateway(Simulation time, Service service, int number, int of, long seed, List<LabHost> hosts, LabList list,
-        long oneWay, boolean takeUp, Consumer<Throwable> onFailure) {
-        this.number = number;
-        this.list = list;
-        client = new LabClient(time, number, hosts, oneWay);
-        core = new SessionCore(service, service.control(number, of, ""), seed, time, time.loop(), client,
-            new ListFollower() {
+        long oneWay, boolean takeUp, Policy policy, Consumer<Throwable> onFailure) {
+        place = new Place(time, service, number, of, seed, new LabClient(time, number, hosts, oneWay), list, takeUp);
+        front = policy == Policy.CONTROL ? core(place, onFailure) : new Baseline(place, policy);
+    }
+
+    private static Front core(Place place, Consumer<Throwable> onFailure) {
+        SessionCore core = new SessionCore(place.service, place.service.control(place.number, place.of, ""), place.seed,
+            place.time, place.time.loop(), place.client, new ListFollower() {
                 @Override
                 public void follow(boolean on) {
                 }
@@ -39,24 +43,25 @@
                 public void fetch() {
                 }
             }, SESSIONS, ADMISSION, CoreEvents.NONE, onFailure);
-        client.notes = core;
+        place.client.notes = core;
         core.start();
-        boolean[] first = {takeUp};
-        list.follow(number, (List<ListEntry> entries, boolean whole) -> {
+        boolean[] first = {place.takeUp};
+        place.list.follow(place.number, (List<ListEntry> entries, boolean whole) -> {
             core.listed(entries, whole);
             if (first[0]) {
                 first[0] = false;
                 core.takeUp();
             }
         });
+        return new Front.Core(core);
     }
 
     int number() {
-        return number;
+        return place.number;
     }
 
-    SessionCore core() {
-        return core;
+    Front front() {
+        return front;
     }
 
     boolean alive() {
@@ -74,9 +79,9 @@
 
     void kill() {
         alive = false;
-        list.leave(number);
-        core.close();
-        client.close();
+        place.list.leave(place.number);
+        front.close();
+        place.client.close();
         killed.forEach(Runnable::run);
         killed.clear();
     }
--- a/src/main/java/cypressvalve/lab/LabViewer.java
+++ b/src/main/java/cypressvalve/lab/LabViewer.java
@@ -1,9 +1,7 @@
 package cypressvalve.lab;
 
 import cypressvalve.config.Service;
-import cypressvalve.session.Answer;
 import cypressvalve.session.Ask;
-import cypressvalve.session.Session;
 import cypressvalve.standin.Player;
 
 /**
@@ -22,7 +20,7 @@
     private int lives;
     private long nextSegment = -1;
     private long watched;
-    private Session session;
+    private Front.Playing session;
     private LabGateway at;
     private long playBegan;
     private long runsOut;
@@ -51,7 +49,7 @@
     }
 
     /** Goes on with a session that plays already. */
-    void resume(LabGateway gateway, Session plays) {
+    void resume(LabGateway gateway, Front.Playing plays) {
         until = now() + viewer.length() + viewer.abandon();
         put("resumed", "gateway", gateway.number());
         begin(gateway, plays);
@@ -79,9 +77,9 @@
         }
         Service.PlanRow plan = lab.service().plans().get(viewer.plan());
         boolean[] told = new boolean[1];
-        Answer answer = new Answer() {
+        Front.Told answer = new Front.Told() {
             @Override
-            public void playing(Session plays) {
+            public void playing(Front.Playing plays) {
                 answered(200, -1, plays);
             }
 
@@ -95,7 +93,7 @@
                 answered(504, -1, null);
             }
 
-            private void answered(int status, long retryAfter, Session plays) {
+            private void answered(int status, long retryAfter, Front.Playing plays) {
                 lab.time().after(lab.oneWay(), () -> {
                     if (told[0]) {
                         return;
@@ -110,20 +108,20 @@
                 });
             }
         };
-        Session[] asked = new Session[1];
+        Runnable[] hangUp = new Runnable[1];
         Runnable lost = () -> {
             if (!told[0]) {
                 told[0] = true;
                 put("no-answer", "ask", id, "why", "lost");
-                if (asked[0] != null && gateway.alive()) {
-                    gateway.core().hungUp(asked[0], answer);
+                if (hangUp[0] != null && gateway.alive()) {
+                    hangUp[0].run();
                 }
                 comeAgain(-1);
             }
         };
         gateway.whenKilled(lost);
         lab.time().after(viewer.abandon() + GRACE, lost);
-        asked[0] = gateway.core().ask(new Ask(viewer.name() + "-" + lives, viewer.title(), viewer.plan(),
+        hangUp[0] = gateway.front().ask(new Ask(viewer.name() + "-" + lives, viewer.title(), viewer.plan(),
             viewer.tenant(), Math.min(viewer.screen(), lab.service().ladder().length - 1), viewer.hint() * SECOND,
             Math.min(plan.abandon(), viewer.abandon())), answer);
     }
@@ -143,7 +141,7 @@
         lab.time().after(wait, () -> ask(true));
     }
 
-    private void begin(LabGateway gateway, Session plays) {
+    private void begin(LabGateway gateway, Front.Playing plays) {
         at = gateway;
         session = plays;
         playBegan = now();
@@ -156,10 +154,10 @@
     }
 
     private boolean gone() {
-        return !at.alive() || session.state() != Session.State.PLAYING;
+        return !at.alive() || !session.plays();
     }
 
-    private void fetch(Session of) {
+    private void fetch(Front.Playing of) {
         if (over || session != of) {
             return;
         }
@@ -189,15 +187,15 @@
                 lab.time().after(lab.oneWay(), () -> broken(at.alive() ? "status-410" : "gateway"));
                 return;
             }
-            at.core().seen(of);
-            int host = (int) of.host().id();
+            of.seen();
+            int host = of.host();
             int rung = of.rung();
-            String name = of.hostSession();
+            String name = of.name();
             lab.time().after(2 * lab.oneWay(), () -> bytes(of, host, name, rung, began));
         });
     }
 
-    private void bytes(Session of, int host, String name, int rung, long began) {
+    private void bytes(Front.Playing of, int host, String name, int rung, long began) {
         if (over || session != of) {
             return;
         }
@@ -253,13 +251,13 @@
     }
 
     private void end() {
-        Session of = session;
+        Front.Playing of = session;
         LabGateway gateway = at;
         session = null;
         if (of != null) {
             lab.time().after(lab.oneWay(), () -> {
-                if (gateway.alive() && of.state() == Session.State.PLAYING) {
-                    gateway.core().end(of);
+                if (gateway.alive() && of.plays()) {
+                    of.end();
                 }
             });
         }
--- a/src/main/java/cypressvalve/load/map/Mapping.java
+++ b/src/main/java/cypressvalve/load/map/Mapping.java
@@ -39,7 +39,7 @@
     }
 
     private record Rule(Meant.Kind kind, String method, Template uri, String reason, Map<String, String> values,
-        List<String> placed) { }
+        List<String> placed, Map<String, Integer> whole) { }
 
     /** Asked of a mapping: what a request means, or why nothing. */
     public record Outcome(Meant meant, String reason) { }
@@ -144,8 +144,15 @@
             r.wrong("title", "to be told by a rule of kind ask");
         }
         if (template != null && kind != null) {
+            Map<String, Integer> whole = new HashMap<>();
+            for (Map.Entry<String, String> value : values.entrySet()) {
+                int part = template.names().indexOf(value.getValue().replaceAll("^\\{|}$", ""));
+                if (value.getValue().startsWith("{") && part >= 0) {
+                    whole.put(value.getKey(), part);
+                }
+            }
             rules.add(new Rule(kind, r.text("method", kind == Meant.Kind.END ? "DELETE" : "GET"), template,
-                r.text("reason", "not a playback's"), values, template.names()));
+                r.text("reason", "not a playback's"), values, template.names(), whole));
         }
     }
 
@@ -285,6 +292,11 @@
         if (text.indexOf('{') < 0) {
             return text;
         }
+        // Most fields are one part of the path and nothing else.
+        int part = rule.whole.getOrDefault(field, -1);
+        if (part >= 0) {
+            return parts[part];
+        }
         Matcher m = PLACE.matcher(text);
         StringBuilder out = new StringBuilder();
         while (m.find()) {
@@ -304,7 +316,18 @@
     }
 
     private static long number(String text) {
-        return text.matches("[0-9]{1,18}") ? Long.parseLong(text) : -1;
+        if (text.isEmpty() || text.length() > 18) {
+            return -1;
+        }
+        long n = 0;
+        for (int i = 0; i < text.length(); i++) {
+            char c = text.charAt(i);
+            if (c < '0' || c > '9') {
+                return -1;
+            }
+            n = 10 * n + c - '0';
+        }
+        return n;
     }
 
     private static Map<String, String> query(String text) {
--- a/src/main/java/cypressvalve/load/sessions/Ordering.java
+++ b/src/main/java/cypressvalve/load/sessions/Ordering.java
@@ -14,14 +14,18 @@
 public final class Ordering {
     private static final long SECOND = 1_000_000_000L;
 
-    private record Waiting(Meant line, long number) { }
+    private record Waiting(Meant line, long number) implements Comparable<Waiting> {
+        @Override
+        public int compareTo(Waiting o) {
+            return line.at() != o.line.at() ? Long.compare(line.at(), o.line.at()) : Long.compare(number, o.number);
+        }
+    }
 
     private final long window;
     private final int most;
     private final Consumer<Meant> to;
     private final Consumer<Meant> late;
-    private final PriorityQueue<Waiting> waiting = new PriorityQueue<>(
-        Comparator.<Waiting>comparingLong(w -> w.line.at()).thenComparingLong(Waiting::number));
+    private final PriorityQueue<Waiting> waiting = new PriorityQueue<>();
     private final List<Meant> second = new ArrayList<>();
     private long number;
     private long newest = Long.MIN_VALUE;
