--- a/src/main/java/cypressvalve/cli/LabCommand.java
+++ b/src/main/java/cypressvalve/cli/LabCommand.java
@@ -2,7 +2,15 @@
 
 import cypressvalve.config.Doc;
 import cypressvalve.judge.Finding;
+import cypressvalve.lab.Comparison;
+import cypressvalve.lab.Experiment;
 import cypressvalve.lab.Lab;
+import cypressvalve.lab.Policy;
+import cypressvalve.lab.RunResult;
+import cypressvalve.lab.Runner;
+import cypressvalve.load.replay.Names;
+import cypressvalve.load.replay.TraceCrowd;
+import cypressvalve.load.report.ExperimentPage;
 import cypressvalve.trouble.DayScript;
 import java.io.IOException;
 import java.io.PrintWriter;
@@ -20,14 +28,14 @@
 
 /** The laboratory. */
 @Command(name = "lab", mixinStandardHelpOptions = true, description = "Days in simulated time.",
-    subcommands = LabCommand.Run.class)
+    subcommands = {LabCommand.Run.class, LabCommand.Try.class})
 final class LabCommand implements Runnable {
     @Spec
     private CommandSpec spec;
 
     @Override
     public void run() {
-        throw new ParameterException(spec.commandLine(), "a command is needed: run");
+        throw new ParameterException(spec.commandLine(), "a command is needed: run or experiment");
     }
 
     /** One day. */
@@ -37,6 +45,13 @@
         @Parameters(arity = "0..1", paramLabel = "DAY", description = "the day's script (YAML); left out: a built-in day")
         private Path day;
 
+        @Option(names = "--trace", paramLabel = "TRACE",
+            description = "viewers of this trace in place of the day's; first tries only, the day's model comes again")
+        private Path trace;
+
+        @Option(names = "--tape", paramLabel = "FILE", description = "keep the tape in this file")
+        private Path tape;
+
         @Option(names = "--seed", paramLabel = "N", description = "another seed than the script's")
         private Long seed;
 
@@ -58,7 +73,23 @@
             PrintWriter out = spec.commandLine().getOut();
             PrintWriter err = spec.commandLine().getErr();
             long began = System.nanoTime();
-            Lab lab = new Lab(script);
+            Lab lab;
+            if (trace == null) {
+                lab = new Lab(script);
+            } else {
+                Names names = Names.of(trace, Map.of(), script.service());
+                if (!names.unknownPlans().isEmpty()) {
+                    throw new Commands.Refusal(trace + ": plans that the service does not have: "
+                        + String.join(", ", names.unknownPlans()));
+                }
+                script = new DayScript(script.name(), script.seed(), Math.max(script.length(), TraceCrowd.span(trace)),
+                    names.with(script.titles().copies(), script.titles().length()), script.hosts(), script.titles(),
+                    script.viewers(), script.gateways(), script.troubles());
+                lab = new Lab(script, Policy.CONTROL, TraceCrowd.of(trace, names, script.service()));
+            }
+            if (tape != null) {
+                lab.keep(tape);
+            }
             int[] tenths = new int[1];
             Map<Integer, List<Finding>> findings = lab.play(share -> {
                 if ((int) (share * 10) > tenths[0]) {
@@ -79,4 +110,59 @@
             return kept ? 0 : 1;
         }
     }
+
+    /** A grid of days. */
+    @Command(name = "experiment", mixinStandardHelpOptions = true,
+        description = "Runs a grid of days, policies, settings and seeds in simulated time; goes on where it was stopped.")
+    static final class Try implements Callable<Integer> {
+        @Parameters(paramLabel = "EXPERIMENT", description = "the grid (YAML); docs/lab.md describes it")
+        private Path file;
+
+        @Option(names = {"-o", "--out"}, required = true, paramLabel = "FILE",
+            description = "results, a JSON line a run; what is in it is not run again")
+        private Path out;
+
+        @Option(names = "--threads", paramLabel = "N", description = "runs at once (default: one a core)")
+        private int threads = Runtime.getRuntime().availableProcessors();
+
+        @Option(names = "--report", paramLabel = "FILE", description = "write a report with plots (HTML)")
+        private Path report;
+
+        @Spec
+        private CommandSpec spec;
+
+        @Override
+        public Integer call() throws IOException, InterruptedException {
+            if (System.getProperty("cypressvalve.log.level") == null) {
+                System.setProperty("cypressvalve.log.level", "ERROR");
+            }
+            if (threads < 1) {
+                throw new ParameterException(spec.commandLine(), "--threads: expected 1 or more");
+            }
+            Experiment experiment = Experiment.read(Doc.read(file), file.toAbsolutePath().getParent());
+            PrintWriter err = spec.commandLine().getErr();
+            List<RunResult> results = Runner.run(experiment, out, threads, (done, all) -> {
+                err.print((System.console() == null ? "" : "\r") + done + " of " + all + " runs"
+                    + (System.console() == null ? System.lineSeparator() : ""));
+                err.flush();
+            });
+            Comparison comparison = new Comparison(results);
+            PrintWriter to = spec.commandLine().getOut();
+            to.println("simulated: " + experiment.name() + ", " + experiment.seeds().size() + " seeds a cell");
+            for (String[] row : ExperimentPage.means(comparison)) {
+                to.println(String.join("  ", row));
+            }
+            for (Comparison.Difference d : comparison.differences(RunResult.COMPARED)) {
+                if (d.real()) {
+                    to.printf(Locale.ROOT, "real: %s, %s by %+.3f (p %.2g)%n", d.cell(), d.figure(), d.mean().mean(),
+                        d.p());
+                }
+            }
+            to.flush();
+            if (report != null) {
+                ExperimentPage.write(report, experiment.name(), comparison);
+            }
+            return 0;
+        }
+    }
 }
--- a/src/main/java/cypressvalve/lab/Lab.java
+++ b/src/main/java/cypressvalve/lab/Lab.java
@@ -11,6 +11,7 @@
 import cypressvalve.rehearsal.Summary;
 import cypressvalve.standin.Player;
 import cypressvalve.tape.Tape;
+import cypressvalve.tape.TapeRecord;
 import cypressvalve.trouble.Crowd;
 import cypressvalve.trouble.DayScript;
 import cypressvalve.trouble.Struck;
@@ -41,6 +42,7 @@
 
     private final DayScript day;
     private final Policy policy;
+    private final List<Crowd.Coming> crowd;
     private final Simulation time = new Simulation(BEGINS);
     private final Tape tape;
     private final List<LabUplink> uplinks = new ArrayList<>();
@@ -55,6 +57,10 @@
     private long openedAt = Long.MAX_VALUE;
     private int lives;
     private Throwable failure;
+    private Tape kept;
+    /** What is told before anybody can ask for a file: terms, and each host's start. */
+    private final List<TapeRecord> early = new ArrayList<>();
+    private boolean begun;
 
     /** A day with a tape of its own clock; see {@link #tape()}. */
     public Lab(DayScript day) {
@@ -63,11 +69,22 @@
 
     /** @param policy who decides; anything but Control is for comparison */
     public Lab(DayScript day, Policy policy) {
+        this(day, policy, Crowd.of(day));
+    }
+
+    /** @param crowd who comes when, such as a trace's viewers */
+    public Lab(DayScript day, Policy policy, List<Crowd.Coming> crowd) {
         this.day = day;
+        this.crowd = crowd;
         this.policy = policy;
         tape = Tape.heard(time::now);
         tape.also(judge::accept);
         tape.also(summary::accept);
+        tape.also(r -> {
+            if (!begun) {
+                early.add(r);
+            }
+        });
         chance = RandomGeneratorFactory.of("L64X128MixRandom").create(day.seed());
         DayScript.Viewers v = day.viewers();
         habits = new Player.Habits(v.returns(), v.comeLeast(), v.comeMost(), v.honour(), v.buffer(), v.starve(),
@@ -112,7 +129,8 @@
      * @return findings by rule; empty lists where the rule was kept
      */
     public Map<Integer, List<Finding>> play(DoubleConsumer progress) {
-        List<Crowd.Coming> crowd = Crowd.of(day);
+        begun = true;
+        early.clear();
         Map<Crowd.Coming, String> resumed = new HashMap<>();
         Random first = new Random(day.seed() * 7 + 1);
         for (Crowd.Coming c : crowd) {
@@ -148,6 +166,13 @@
             progress.accept(Math.min(1, at / (double) length));
         }
         tape.put("rehearsal", "ends");
+        if (kept != null) {
+            try {
+                kept.close();
+            } catch (java.io.IOException e) {
+                throw new java.io.UncheckedIOException(e);
+            }
+        }
         if (failure != null) {
             throw new IllegalStateException("a gateway's decisions failed", failure);
         }
@@ -185,6 +210,13 @@
         return time;
     }
 
+    /** Keeps the tape in a file too, closed when the day is over; before the day is played. */
+    public void keep(java.nio.file.Path file) throws java.io.IOException {
+        kept = Tape.file(file);
+        early.forEach(kept::copy);
+        tape.also(kept::copy);
+    }
+
     /** The run's tape, in simulated time; readers may be added before the day is played. */
     public Tape tape() {
         return tape;
--- a/src/main/java/cypressvalve/load/replay/Replay.java
+++ b/src/main/java/cypressvalve/load/replay/Replay.java
@@ -83,7 +83,7 @@
                 if (due.isEmpty()) {
                     continue;
                 }
-                Player player = new Player(world, viewer(p, schedule.length(p)));
+                Player player = new Player(world, TraceCrowd.viewer(p, schedule.length(p), names, service));
                 for (Schedule.Due d : due) {
                     long at = began + d.at();
                     last = Math.max(last, d.at() + schedule.length(p));
@@ -105,17 +105,6 @@
         return new Result(sent.get(), notSent.get(), lateness.copy(), plan.lateBound());
     }
 
-    private Player.Viewer viewer(Played p, long length) {
-        Service.PlanRow row = service.plans().get(names.plan(p));
-        int top = service.ladder().length - 1;
-        int screen = p.screen() < 0 ? top : Math.min(top, p.screen());
-        long patience = p.patience() > 0 ? Math.min(p.patience(), row.abandon()) : row.abandon();
-        return new Player.Viewer(Long.toHexString(p.keys().isEmpty() ? p.at() : p.keys().get(0)) + "-" + p.at() % SECOND,
-            names.title(p), row.name(), names.tenant(p), screen, row.live(),
-            Math.max(length, service.segment()), p.hint() > 0 ? p.hint() : Math.max(1, p.length() / SECOND),
-            Math.max(1, (patience + SECOND - 1) / SECOND) * SECOND);
-    }
-
     private void leave(Player player, long due) {
         synchronized (lateness) {
             lateness.recordValue(Math.max(0, Math.min(LONGEST, System.nanoTime() - due)));
--- a/src/main/java/cypressvalve/rehearsal/Summary.java
+++ b/src/main/java/cypressvalve/rehearsal/Summary.java
@@ -115,6 +115,11 @@
         return segments == 0 ? 0 : rungs / segments;
     }
 
+    /** Times that a viewer's playback broke while it played. */
+    public long breaks() {
+        return breaks;
+    }
+
     /** Answers by outcome. */
     public Map<String, Long> outcomes() {
         return outcomes;
--- a/src/main/java/cypressvalve/tape/Tape.java
+++ b/src/main/java/cypressvalve/tape/Tape.java
@@ -80,7 +80,13 @@
             values.put((String) fields[i], fields[i + 1]);
         }
         synchronized (this) {
-            TapeRecord record = new TapeRecord(now(), by, kind, values);
+            copy(new TapeRecord(now(), by, kind, values));
+        }
+    }
+
+    /** Writes a record as it is, its time included. */
+    public void copy(TapeRecord record) {
+        synchronized (this) {
             readers.forEach(r -> r.accept(record));
             if (out == null) {
                 return;
@@ -88,9 +94,9 @@
             try {
                 out.writeStartObject();
                 out.writeNumberField("t", record.t());
-                out.writeStringField("by", by);
-                out.writeStringField("kind", kind);
-                for (Map.Entry<String, Object> field : values.entrySet()) {
+                out.writeStringField("by", record.by());
+                out.writeStringField("kind", record.kind());
+                for (Map.Entry<String, Object> field : record.fields().entrySet()) {
                     out.writePOJOField(field.getKey(), field.getValue());
                 }
                 out.writeEndObject();
--- a/src/test/java/cypressvalve/ArchitectureTest.java
+++ b/src/test/java/cypressvalve/ArchitectureTest.java
@@ -18,9 +18,11 @@
     @ArchTest
     static final ArchRule DECISIONS_DO_NO_IO = noClasses().that().haveFullyQualifiedName("cypressvalve.Control")
         .or().resideInAnyPackage("cypressvalve.model..", "cypressvalve.judge..")
-        .or().resideInAnyPackage("cypressvalve.load.sessions..", "cypressvalve.admission..")
+        .or().resideInAnyPackage("cypressvalve.load.sessions..", "cypressvalve.admission..",
+            "cypressvalve.planner..")
         .or().haveFullyQualifiedName("cypressvalve.load.replay.Schedule")
         .or().haveFullyQualifiedName("cypressvalve.load.replay.Match")
+        .or().haveFullyQualifiedName("cypressvalve.lab.Comparison")
         .or().haveSimpleName("Silence").or().haveSimpleName("ClockBound")
         .should().dependOnClassesThat().resideInAnyPackage(IO)
         .orShould().callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis");
