A running gateway rereads its keys; the judge ties refusals to paid tries

Change: the key file is looked at every 5 s, off the loop; what can't be read leaves the keys in force. Hosts' tapes carry the about text, whose last word is the viewer's session id: the judge finds a refusal after a paid try that may have run. The flood bench judges a closed stage.

--- a/src/main/java/cypressvalve/judge/Judge.java
+++ b/src/main/java/cypressvalve/judge/Judge.java
@@ -24,6 +24,8 @@
     public static final List<String> RULES = List.of("no playback lost", "no set-up twice", "drains kept",
         "no cold host pushed over", "terms kept", "further tries within budget");
     private static final int MOST_FINDINGS = 20;
+    /** The status of a refusal that names a time to come again. */
+    private static final int REFUSED = 503;
     /** Chance's part in the count of a cold host's set-ups, as the rule states it. */
     private static final int COLD_SLACK = 2;
     /** A host's word that it stood still comes after it did: verdicts wait so long for it. */
@@ -75,6 +77,7 @@
     private final Map<String, Asked> asked = new LinkedHashMap<>();
     private final Map<String, Tried> tries = new LinkedHashMap<>();
     private final Map<String, List<Tried>> byPlayback = new HashMap<>();
+    private final Map<String, List<Tried>> paidBySid = new HashMap<>();
     private final Map<String, TapeRecord> withdrawn = new HashMap<>();
     private final Map<Long, Host> hosts = new HashMap<>();
     private final Set<Integer> downGateways = new HashSet<>();
@@ -212,6 +215,24 @@
         if (r.t() > a.due) {
             broken(1, "the answer came after the abandon time", a.ask, r);
         }
+        refused(a, r);
+    }
+
+    /** Who is refused is asked to come again: never after a paid try that may have run (rule 2). */
+    private void refused(Asked a, TapeRecord r) {
+        String sid = a.ask.text("sid");
+        if (r.whole("status") != REFUSED || sid.isEmpty()
+            || !plans.getOrDefault(a.ask.text("plan"), new Plan(false, 0, 0)).once) {
+            return;
+        }
+        for (Tried t : paidBySid.getOrDefault(sid, List.of())) {
+            // Its end at the host may be told a little later than the answer.
+            later(r.t(), () -> {
+                if (!t.neverRan) {
+                    broken(2, "a playback was refused though a try paid at set-up may have run", t.setup, r);
+                }
+            });
+        }
     }
 
     private void noAnswer(TapeRecord r) {
@@ -262,6 +283,11 @@
             }
         }
         before.add(t);
+        if (plan.once) {
+            // What a gateway wants to be told again of a session ends with the viewer's own id of it.
+            String about = r.text("about");
+            paidBySid.computeIfAbsent(about.substring(about.lastIndexOf(' ') + 1), sid -> new ArrayList<>()).add(t);
+        }
         if (withdrawn.remove(t.name) != null) {
             t.overAt = r.t();
             t.neverRan = true;
--- a/src/main/java/cypressvalve/lab/LabHost.java
+++ b/src/main/java/cypressvalve/lab/LabHost.java
@@ -196,7 +196,8 @@
     void setUp(int gateway, SetUpOrder order, Ended ended) {
         String name = order.name();
         tape.put("host", "setup", "host", spec.id(), "gateway", gateway, "session", name, "playback", order.playback(),
-            "try", "" + order.number(), "title", order.title(), "plan", order.plan(), "rung", order.rung());
+            "try", "" + order.number(), "title", order.title(), "plan", order.plan(), "rung", order.rung(),
+            "about", order.about());
         if (pushedOver()) {
             ended.ended(Verdict.BROKEN, LoadReport.NONE);
             return;
--- a/src/main/java/cypressvalve/run/GatewayNode.java
+++ b/src/main/java/cypressvalve/run/GatewayNode.java
@@ -62,6 +62,7 @@
     private final GatewayMetrics metrics;
     private final Undertow server;
     private final AccessLog accessLog;
+    private final KeyFile keyFile;
     private final CountDownLatch listed = new CountDownLatch(1);
     private final AtomicBoolean killed = new AtomicBoolean();
 
@@ -78,7 +79,9 @@
             throw new BadSettings(List.of("gateway.clock-error: expected " + ClockBound.most(window) / 1e6
                 + "ms at most, a part of the window of service.rules.cold; gateways take turns by the time of day"));
         }
-        SessionUris uris = uris(settings);
+        String keys = keys(settings);
+        SessionUris uris = uris(settings, keys);
+        keyFile = settings.keys() == null ? null : new KeyFile(settings.keys(), uris, keys);
         try {
             worker = Xnio.getInstance().createWorker(OptionMap.builder()
                 .set(Options.WORKER_NAME, "gateway-" + settings.number()).set(Options.WORKER_IO_THREADS, 1)
@@ -134,16 +137,36 @@
         }
     }
 
-    private static SessionUris uris(GatewaySettings settings) {
+    private static String keys(GatewaySettings settings) {
         try {
-            return new SessionUris(settings.keys() == null ? SessionUris.freshKeys()
-                : Files.readString(settings.keys()));
-        } catch (IOException | GeneralSecurityException e) {
+            return settings.keys() == null ? SessionUris.freshKeys() : Files.readString(settings.keys());
+        } catch (IOException e) {
             throw new BadSettings(List.of(settings.keys() + ":1: expected a key set in Tink's JSON form: "
                 + e.getClass().getSimpleName()));
         }
     }
 
+    private static SessionUris uris(GatewaySettings settings, String keys) {
+        try {
+            return new SessionUris(keys);
+        } catch (GeneralSecurityException e) {
+            throw new BadSettings(List.of(settings.keys() + ":1: expected a key set in Tink's JSON form: "
+                + e.getClass().getSimpleName()));
+        }
+    }
+
+    /** How often the key file is looked at: keys are changed by hand, a few times a year. */
+    private static final long KEYS_LOOK_S = 5;
+
+    private void lookAtKeys() {
+        thread.executeAfter(() -> {
+            if (!killed.get()) {
+                worker.execute(keyFile::look);
+                lookAtKeys();
+            }
+        }, KEYS_LOOK_S, TimeUnit.SECONDS);
+    }
+
     /** Notes that hosts tell, handed to a core that is made after the client. */
     private static final class Later implements HostClient.Notes {
         private SessionCore core;
@@ -195,6 +218,9 @@
             });
         });
         server.start();
+        if (keyFile != null) {
+            lookAtKeys();
+        }
         LOG.info("gateway listens {} {}", kv("gateway", settings.number()), kv("port", port()));
     }
 
--- a/src/main/java/cypressvalve/standin/MediaHostServer.java
+++ b/src/main/java/cypressvalve/standin/MediaHostServer.java
@@ -328,7 +328,7 @@
         int dot = name.lastIndexOf('.');
         tape.put("host", "setup", "host", spec.id(), "gateway", gateway, "session", name,
             "playback", dot < 0 ? name : name.substring(0, dot), "try", dot < 0 ? "0" : name.substring(dot + 1),
-            "title", title, "plan", plan, "rung", rung);
+            "title", title, "plan", plan, "rung", rung, "about", query(exchange, "about"));
         if (pushedOver()) {
             return;
         }
--- a/src/test/java/cypressvalve/judge/JudgeTest.java
+++ b/src/test/java/cypressvalve/judge/JudgeTest.java
@@ -158,6 +158,39 @@
         broken();
     }
 
+    private void paid(long ms, String ask, String sid) {
+        at(ms, "player", "ask", "ask", ask, "gateway", 0, "abandon", 3000 * MS, "plan", "paid", "sid", sid);
+    }
+
+    private void paidSetup(long ms, String playback, String sid) {
+        at(ms, "host", "setup", "host", 0, "gateway", 0, "session", playback + ".0", "playback", playback, "try", "0",
+            "title", "t", "plan", "paid", "rung", 1, "about", "3 0 north " + sid);
+    }
+
+    @Test
+    void aPaidPlaybackRefusedThoughItsTryMayHaveRun() {
+        paid(10, "a", "s1-0");
+        paidSetup(20, "p", "s1-0");
+        answer(1000, "a", 503);
+        ask(9000, "z");
+        answer(9001, "z", 200);
+        broken(2);
+    }
+
+    @Test
+    void aPaidPlaybackRefusedAfterAHostTurnedItAwayOrAfterAnotherViewersTryIsKept() {
+        paid(10, "a", "s1-0");
+        paidSetup(20, "p", "s1-0");
+        answer(1000, "a", 503);
+        end(1200, "p.0", "full"); // Told late, within the slack.
+        paid(2000, "b", "s2-0");
+        paidSetup(2010, "q", "s12-0");
+        answer(2100, "b", 503);
+        ask(9000, "z");
+        answer(9001, "z", 200);
+        broken();
+    }
+
     @Test
     void oneTrySentTwice() {
         setup(10, 1, "p", 0, "plain");
--- a/src/test/java/cypressvalve/rehearsal/FloodBench.java
+++ b/src/test/java/cypressvalve/rehearsal/FloodBench.java
@@ -75,7 +75,8 @@
         System.out.println("gate  times  asks  asks/s  answered  served  rejected  other  refused  reject ms p50/p99/most"
             + "  loop late ms p50/p99/most  stalled share  heap MB  driver late p99 ms  rules broken");
         run(day, once, 1, Gate.Limits.DEFAULT, true); // Warms up; not shown.
-        for (int times : new int[] {1, 2, 4, 8}) {
+        for (int times : args.length > 1 ? java.util.Arrays.stream(args).skip(1).mapToInt(Integer::parseInt).toArray()
+            : new int[] {1, 2, 4, 8}) {
             Path trace = directory.resolve("x" + times);
             TraceEdit.multiply(once, trace, times, 7);
             run(day, trace, times, none, false);
@@ -154,6 +155,7 @@
                 .mapToDouble(l -> Double.parseDouble(l.substring(l.lastIndexOf(' ') + 1))).sum();
             System.gc();
             long heap = Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory() >> 20;
+            stage.close(); // The tape is whole once no host writes it any more.
             long broken = judge.finish().values().stream().filter(f -> !f.isEmpty()).count();
             if (!warmUp) {
                 System.out.printf(Locale.ROOT, "%-4s  %5d  %5d  %6.0f  %8.3f  %6d  %8d  %5d  %7.0f  %.1f/%.1f/%.1f  "
