The flood bench warms up at size and judges a finished tape

Change: a whole run of the fourfold trace before those shown; the judge is asked when nobody writes; any number of gateways in a script.

--- a/src/main/java/cypressvalve/trouble/DayScript.java
+++ b/src/main/java/cypressvalve/trouble/DayScript.java
@@ -77,7 +77,7 @@
         }
         return new DayScript(d.text("name", "day"), seed, length,
             service.withTitles(titles(titles, service.fleet().cells(), seed)), hosts(root.section("hosts"), service),
-            titles, viewers, new Gateways((int) root.optional("gateways").whole("count", 1, 64, 1)), troubles);
+            titles, viewers, new Gateways((int) root.optional("gateways").whole("count", 1, 100_000, 1)), troubles);
     }
 
     private static Hosts hosts(Doc.Section h, Service service) {
--- a/src/test/java/cypressvalve/rehearsal/FloodBench.java
+++ b/src/test/java/cypressvalve/rehearsal/FloodBench.java
@@ -3,6 +3,7 @@
 import cypressvalve.admission.Gate;
 import cypressvalve.config.Doc;
 import cypressvalve.config.GatewaySettings;
+import cypressvalve.judge.Finding;
 import cypressvalve.judge.Judge;
 import cypressvalve.load.Ids;
 import cypressvalve.load.Importer;
@@ -74,7 +75,9 @@
         Gate.Limits none = new Gate.Limits(Integer.MAX_VALUE / 2, Long.MAX_VALUE / 2);
         System.out.println("gate  times  asks  asks/s  answered  served  rejected  other  refused  reject ms p50/p99/most"
             + "  loop late ms p50/p99/most  stalled share  heap MB  driver late p99 ms  rules broken");
-        run(day, once, 1, Gate.Limits.DEFAULT, true); // Warms up; not shown.
+        Path warm = directory.resolve("warm");
+        TraceEdit.multiply(once, warm, 4, 7);
+        run(day, warm, 4, Gate.Limits.DEFAULT, true); // Warms up; not shown.
         for (int times : args.length > 1 ? java.util.Arrays.stream(args).skip(1).mapToInt(Integer::parseInt).toArray()
             : new int[] {1, 2, 4, 8}) {
             Path trace = directory.resolve("x" + times);
@@ -124,6 +127,7 @@
                 stalled.addAndGet(r.whole("late"));
             }
         });
+        String line;
         try (PlayerRoom room = new PlayerRoom(); Stage stage = new Stage(day, tape, null, new GatewaySettings.Limits(
             d.sessions(), d.connections(), d.headerBytes(), d.headers(), d.parameters(), d.requestTimeout(),
             d.idleTimeout(), gate))) {
@@ -146,8 +150,8 @@
             looks.setDaemon(true);
             looks.start();
             long began = System.nanoTime();
-            Replay.Result result = new Replay(trace, new Plan(1, 0, warmUp ? 6 * SECOND : 3600 * SECOND, 0, 1,
-                Plan.Retries.MODEL, 100_000, 10 * SECOND, false), names, day.service(), world).run(line -> { });
+            Replay.Result result = new Replay(trace, new Plan(1, 0, 3600 * SECOND, 0, 1,
+                Plan.Retries.MODEL, 100_000, 10 * SECOND, false), names, day.service(), world).run(progress -> { });
             double seconds = (System.nanoTime() - began) / (double) SECOND;
             looks.interrupt();
             String scraped = stage.gateway(0).metrics().scrape();
@@ -155,19 +159,24 @@
                 .mapToDouble(l -> Double.parseDouble(l.substring(l.lastIndexOf(' ') + 1))).sum();
             System.gc();
             long heap = Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory() >> 20;
-            stage.close(); // The tape is whole once no host writes it any more.
-            long broken = judge.finish().values().stream().filter(f -> !f.isEmpty()).count();
-            if (!warmUp) {
-                System.out.printf(Locale.ROOT, "%-4s  %5d  %5d  %6.0f  %8.3f  %6d  %8d  %5d  %7.0f  %.1f/%.1f/%.1f  "
-                    + "%.2f/%.2f/%.2f  %.4f  %d  %.1f  %d%n", gate == Gate.Limits.DEFAULT ? "yes" : "no", times,
-                    asks.get(), asks.get() / seconds, (served.get() + rejected.get() + other.get())
-                        / (double) Math.max(1, asks.get()), served.get(), rejected.get(), other.get(), refused,
-                    rejects.getValueAtPercentile(50) / 1e6, rejects.getValueAtPercentile(99) / 1e6,
-                    rejects.getMaxValue() / 1e6, late.getValueAtPercentile(50) / 1e6,
-                    late.getValueAtPercentile(99) / 1e6, late.getMaxValue() / 1e6,
-                    stalled.get() / (double) Math.max(1, played.get() + stalled.get()), heap,
-                    result.late().getValueAtPercentile(99) / 1e6, broken);
-            }
+            line = String.format(Locale.ROOT, "%-4s  %5d  %5d  %6.0f  %8.3f  %6d  %8d  %5d  %7.0f  %.1f/%.1f/%.1f  "
+                + "%.2f/%.2f/%.2f  %.4f  %d  %.1f", gate == Gate.Limits.DEFAULT ? "yes" : "no", times,
+                asks.get(), asks.get() / seconds, (served.get() + rejected.get() + other.get())
+                    / (double) Math.max(1, asks.get()), served.get(), rejected.get(), other.get(), refused,
+                rejects.getValueAtPercentile(50) / 1e6, rejects.getValueAtPercentile(99) / 1e6,
+                rejects.getMaxValue() / 1e6, late.getValueAtPercentile(50) / 1e6,
+                late.getValueAtPercentile(99) / 1e6, late.getMaxValue() / 1e6,
+                stalled.get() / (double) Math.max(1, played.get() + stalled.get()), heap,
+                result.late().getValueAtPercentile(99) / 1e6);
+        }
+        // The tape is whole once nobody writes it any more.
+        Map<Integer, List<Finding>> findings;
+        synchronized (tape) {
+            findings = judge.finish();
+        }
+        if (!warmUp) {
+            System.out.println(line + "  " + findings.entrySet().stream().filter(f -> !f.getValue().isEmpty())
+                .map(f -> f.getKey() + " (" + f.getValue().size() + ": " + f.getValue().get(0).what() + ")").toList());
         }
     }
 }
