A replay's clock starts after its record, so no arrival precedes its due time

Change: the tape's record of the beginning comes first, then the clock.

Replay, schedule and structure tests pass.

--- a/src/main/java/cypressvalve/load/replay/Replay.java
+++ b/src/main/java/cypressvalve/load/replay/Replay.java
@@ -74,9 +74,10 @@
         long told = began;
         long last = 0;
         try (TraceReader in = TraceReader.open(trace)) {
-            began = System.nanoTime();
             world.tape().put("replay", "begins", "from", in.header().getBegins() + plan.from(), "speed", plan.speed(),
                 "share", plan.share(), "of", plan.of(), "retries", plan.retries().name().toLowerCase(Locale.ROOT));
+            // After the record, so that nothing arrives before it was due by the tape's clock.
+            began = System.nanoTime();
             Schedule schedule = new Schedule(plan, in.header().getBegins());
             for (Played p = in.next(); p != null && !schedule.past(p); p = in.next()) {
                 List<Schedule.Due> due = schedule.of(p);
