--- a/src/test/java/cypressvalve/rehearsal/ReplayTest.java
+++ b/src/test/java/cypressvalve/rehearsal/ReplayTest.java
@@ -112,6 +112,11 @@
         servers.put("g0", List.of(logs.resolve("gateway-0.log")));
         servers.put("g1", List.of(logs.resolve("gateway-1.log")));
         assertEquals(wanted(trace), wanted(imported("again", own(), servers)));
+        Map<String, List<Path>> hosts = new LinkedHashMap<>();
+        for (int i = 0; i < 4; i++) {
+            hosts.put("h" + i, List.of(logs.resolve("host-" + i + ".log")));
+        }
+        assertEquals(wanted(trace), wanted(imported("hosts", own(), hosts)), "what hosts were asked to set up");
         Path page = directory.resolve("run.html");
         RunPage.write(page, List.of(RunFacts.read(tapeFile), RunFacts.read(tapeFile)), List.of("a <remark>"));
         String html = Files.readString(page);
