Servers' clocks sort viewers' segments themselves; dead code and doubled readers go

Change: ServerClocks keeps 40 segments of 5,000 viewers and sorts them; the importer only hands over.

--- a/src/main/java/cypressvalve/cli/LabCommand.java
+++ b/src/main/java/cypressvalve/cli/LabCommand.java
@@ -60,15 +60,10 @@
 
         @Override
         public Integer call() throws IOException {
-            if (System.getProperty("cypressvalve.log.level") == null) {
-                System.setProperty("cypressvalve.log.level", "ERROR");
-            }
-            Doc doc = day == null ? Doc.parse("default.yaml", RehearseCommand.builtIn()) : Doc.read(day);
-            DayScript script = DayScript.read(doc);
-            doc.verify();
+            Scripts.quietLogs();
+            DayScript script = Scripts.day(day);
             if (seed != null) {
-                script = new DayScript(script.name(), seed, script.length(), script.service(), script.hosts(),
-                    script.titles(), script.viewers(), script.gateways(), script.troubles());
+                script = script.withSeed(seed);
             }
             PrintWriter out = spec.commandLine().getOut();
             PrintWriter err = spec.commandLine().getErr();
@@ -82,9 +77,8 @@
                     throw new Commands.Refusal(trace + ": plans that the service does not have: "
                         + String.join(", ", names.unknownPlans()));
                 }
-                script = new DayScript(script.name(), script.seed(), Math.max(script.length(), TraceCrowd.span(trace)),
-                    names.with(script.titles().copies(), script.titles().length()), script.hosts(), script.titles(),
-                    script.viewers(), script.gateways(), script.troubles());
+                script = script.withLength(Math.max(script.length(), TraceCrowd.span(trace)))
+                    .withService(names.with(script.titles().copies(), script.titles().length()));
                 lab = new Lab(script, Policy.CONTROL, TraceCrowd.of(trace, names, script.service()));
             }
             if (tape != null) {
@@ -133,9 +127,7 @@
 
         @Override
         public Integer call() throws IOException, InterruptedException {
-            if (System.getProperty("cypressvalve.log.level") == null) {
-                System.setProperty("cypressvalve.log.level", "ERROR");
-            }
+            Scripts.quietLogs();
             if (threads < 1) {
                 throw new ParameterException(spec.commandLine(), "--threads: expected 1 or more");
             }
--- a/src/main/java/cypressvalve/cli/LoadCommand.java
+++ b/src/main/java/cypressvalve/cli/LoadCommand.java
@@ -6,7 +6,6 @@
 import cypressvalve.load.Importer;
 import cypressvalve.load.make.SourceMaker;
 import cypressvalve.load.map.Mapping;
-import cypressvalve.load.sessions.Gap;
 import cypressvalve.load.sessions.Played;
 import cypressvalve.load.trace.TraceEdit;
 import cypressvalve.load.trace.TraceReader;
@@ -289,9 +288,7 @@
                 throw new ParameterException(spec.commandLine(), "--form: expected one of "
                     + String.join(", ", SourceMaker.forms()));
             }
-            Doc doc = day == null ? Doc.parse("default.yaml", RehearseCommand.builtIn()) : Doc.read(day);
-            DayScript script = DayScript.read(doc);
-            doc.verify();
+            DayScript script = Scripts.day(day);
             long lost = lostAt == null ? 0 : time(spec, "--lost-at", lostAt);
             SourceMaker.Truth truth = SourceMaker.make(file, form, script.service(), seed, time(spec, "--span", span),
                 rate, viewers, time(spec, "--length", length), new SourceMaker.Faults(lost,
--- a/src/main/java/cypressvalve/cli/PlanCommand.java
+++ b/src/main/java/cypressvalve/cli/PlanCommand.java
@@ -45,13 +45,6 @@
         throw new ParameterException(spec.commandLine(), "a command is needed: bottleneck or capacity");
     }
 
-    private static DayScript script(String name, String text) {
-        Doc doc = Doc.parse(name, text);
-        DayScript day = DayScript.read(doc);
-        doc.verify();
-        return day;
-    }
-
     /** What runs out first. */
     @Command(name = "bottleneck", mixinStandardHelpOptions = true,
         description = "Ranks what runs out as viewers grow, by means and blocking formulas; no run is made.")
@@ -76,7 +69,7 @@
             if (!(times > 0 && times <= 1000)) {
                 throw new ParameterException(spec.commandLine(), "--times: expected a number over 0, up to 1000");
             }
-            DayScript script = script(day.toString(), Files.readString(day));
+            DayScript script = Scripts.day(day);
             Fleet fleet = Fleet.of(script);
             Demand demand;
             if (trace == null) {
@@ -93,10 +86,7 @@
                         gatherer.add(p.at(), p.length(), names.title(p), names.plan(p));
                     }
                 }
-                DayScript with = new DayScript(script.name(), script.seed(), script.length(),
-                    names.with(script.titles().copies(), script.titles().length()), script.hosts(), script.titles(),
-                    script.viewers(), script.gateways(), script.troubles());
-                fleet = Fleet.of(with);
+                fleet = Fleet.of(script.withService(names.with(script.titles().copies(), script.titles().length())));
                 try {
                     demand = gatherer.worst();
                 } catch (Demand.Unsupported e) {
@@ -177,11 +167,9 @@
                 throw new ParameterException(spec.commandLine(),
                     "expected --seeds of 2 or more, --most of 1 or more, --lose between 0 and 1");
             }
-            if (System.getProperty("cypressvalve.log.level") == null) {
-                System.setProperty("cypressvalve.log.level", "ERROR");
-            }
+            Scripts.quietLogs();
             String text = Files.readString(day);
-            DayScript script = script(day.toString(), text);
+            DayScript script = Scripts.read(Doc.parse(day.toString(), text));
             int least = Math.max(script.service().fleet().racks(), script.titles().copies());
             if (most < least) {
                 throw new Commands.Refusal("--most: expected " + least + " or more, as the day has so many racks or copies");
--- a/src/main/java/cypressvalve/cli/RehearseCommand.java
+++ b/src/main/java/cypressvalve/cli/RehearseCommand.java
@@ -1,15 +1,12 @@
 package cypressvalve.cli;
 
-import cypressvalve.config.Doc;
 import cypressvalve.judge.Finding;
 import cypressvalve.judge.Judge;
 import cypressvalve.rehearsal.Rehearsal;
 import cypressvalve.tape.Tape;
 import cypressvalve.trouble.DayScript;
 import java.io.IOException;
-import java.io.InputStream;
 import java.io.PrintWriter;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -45,9 +42,7 @@
         if (!verbose && System.getProperty("cypressvalve.log.level") == null) {
             System.setProperty("cypressvalve.log.level", "ERROR");
         }
-        Doc doc = day == null ? Doc.parse("default.yaml", builtIn()) : Doc.read(day);
-        DayScript script = DayScript.read(doc);
-        doc.verify();
+        DayScript script = Scripts.day(day);
         if (accessLogs != null) {
             Files.createDirectories(accessLogs);
         }
@@ -69,12 +64,6 @@
         }
     }
 
-    static String builtIn() throws IOException {
-        try (InputStream in = RehearseCommand.class.getResourceAsStream("/days/default.yaml")) {
-            return new String(in.readAllBytes(), StandardCharsets.UTF_8);
-        }
-    }
-
     /** Prints each rule's verdict with the records that break it; true if all are kept. */
     static boolean print(PrintWriter out, Map<Integer, List<Finding>> findings) {
         findings.forEach((rule, found) -> {
--- a/src/main/java/cypressvalve/cli/ReplayCommand.java
+++ b/src/main/java/cypressvalve/cli/ReplayCommand.java
@@ -1,6 +1,5 @@
 package cypressvalve.cli;
 
-import cypressvalve.config.Doc;
 import cypressvalve.judge.Finding;
 import cypressvalve.load.replay.Match;
 import cypressvalve.load.replay.Names;
@@ -97,16 +96,11 @@
 
     @Override
     public Integer call() throws IOException, InterruptedException {
-        if (System.getProperty("cypressvalve.log.level") == null) {
-            System.setProperty("cypressvalve.log.level", "ERROR");
-        }
+        Scripts.quietLogs();
         Plan plan = plan();
-        Doc doc = day == null ? Doc.parse("default.yaml", RehearseCommand.builtIn()) : Doc.read(day);
-        DayScript script = DayScript.read(doc);
-        doc.verify();
+        DayScript script = Scripts.day(day);
         if (calm) {
-            script = new DayScript(script.name(), script.seed(), script.length(), script.service(), script.hosts(),
-                script.titles(), script.viewers(), script.gateways(), List.of());
+            script = script.withTroubles(List.of());
         }
         Names names = Names.of(trace, plans, script.service());
         List<String> unknown = names.unknownPlans();
--- /dev/null
+++ b/src/main/java/cypressvalve/cli/Scripts.java
@@ -0,0 +1,39 @@
+package cypressvalve.cli;
+
+import cypressvalve.config.Doc;
+import cypressvalve.trouble.DayScript;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+
+/** Days' scripts as commands name them, or the built-in one. */
+final class Scripts {
+    private Scripts() {
+    }
+
+    /** Reads a day whole; null stands for the built-in one. */
+    static DayScript day(Path file) throws IOException {
+        return read(file == null ? Doc.parse("default.yaml", builtIn()) : Doc.read(file));
+    }
+
+    /** Reads a day from its text. */
+    static DayScript read(Doc doc) {
+        DayScript day = DayScript.read(doc);
+        doc.verify();
+        return day;
+    }
+
+    static String builtIn() throws IOException {
+        try (InputStream in = Scripts.class.getResourceAsStream("/days/default.yaml")) {
+            return new String(in.readAllBytes(), StandardCharsets.UTF_8);
+        }
+    }
+
+    /** Nothing but errors is logged by commands that print figures, unless asked for. */
+    static void quietLogs() {
+        if (System.getProperty("cypressvalve.log.level") == null) {
+            System.setProperty("cypressvalve.log.level", "ERROR");
+        }
+    }
+}
--- a/src/main/java/cypressvalve/lab/Experiment.java
+++ b/src/main/java/cypressvalve/lab/Experiment.java
@@ -36,8 +36,7 @@
             Doc doc = Doc.parse(name(), script);
             DayScript read = DayScript.read(doc);
             doc.verify();
-            return new DayScript(read.name(), seed, read.length(), read.service(), read.hosts(), read.titles(),
-                read.viewers(), read.gateways(), read.troubles());
+            return read.withSeed(seed);
         }
     }
 
--- a/src/main/java/cypressvalve/lab/Simulation.java
+++ b/src/main/java/cypressvalve/lab/Simulation.java
@@ -72,10 +72,6 @@
                 return () -> cancelled[0] = true;
             }
 
-            @Override
-            public boolean inLoop() {
-                return true;
-            }
         };
     }
 }
--- a/src/main/java/cypressvalve/load/Importer.java
+++ b/src/main/java/cypressvalve/load/Importer.java
@@ -239,29 +239,18 @@
         long[] known = new long[servers.size()];
         if (mapping.findOffsets() && servers.size() > 1) {
             ServerClocks clocks = new ServerClocks();
-            PriorityQueue<Meant> inOrder = new PriorityQueue<>(Comparator.comparingLong(Meant::at));
             int server = 0;
             for (List<Path> of : servers.values()) {
                 try (LogFiles source = LogFiles.open(of, mapping.source(), server++, 0)) {
                     Item item = source.next();
                     for (int i = 0; item != null && i < CLOCK_LINES; i++, item = source.next()) {
-                        Mapping.Outcome o = item.hit() == null ? null : mapping.meaning(item.hit());
-                        if (o != null && o.meant() != null && o.meant().segment() >= 0) {
-                            inOrder.add(o.meant());
+                        Meant m = item.hit() == null ? null : mapping.meaning(item.hit()).meant();
+                        if (m != null && m.segment() >= 0) {
+                            clocks.seen(m.hit().server(), m.keys().get(0), m.segment(), m.at());
                         }
                     }
                 }
             }
-            Map<String, List<Meant>> byViewer = new LinkedHashMap<>();
-            while (!inOrder.isEmpty()) {
-                Meant m = inOrder.poll();
-                byViewer.computeIfAbsent(m.keys().get(0), k -> new ArrayList<>()).add(m);
-            }
-            // A viewer's requests in the order of its segments: by time they are in the order of wrong clocks.
-            byViewer.forEach((viewer, all) -> {
-                all.sort(Comparator.comparingLong(Meant::segment));
-                all.forEach(m -> clocks.seen(m.hit().server(), viewer, m.segment(), m.at()));
-            });
             known = clocks.offsets(servers.size());
         }
         int i = 0;
@@ -296,11 +285,6 @@
         return tally;
     }
 
-    /** What was found of the servers' clocks. */
-    public List<Gap> gaps() {
-        return gaps;
-    }
-
     /** What was added to each server's times, nanoseconds. */
     public Map<String, Long> offsetsUsed() {
         return offsets;
--- a/src/main/java/cypressvalve/load/replay/StagedReplay.java
+++ b/src/main/java/cypressvalve/load/replay/StagedReplay.java
@@ -1,6 +1,5 @@
 package cypressvalve.load.replay;
 
-import cypressvalve.config.Service;
 import cypressvalve.judge.Finding;
 import cypressvalve.judge.Judge;
 import cypressvalve.load.sessions.Played;
@@ -40,9 +39,7 @@
     /** @param accessLogs a directory for the access logs, null for none */
     public StagedReplay(DayScript day, Path trace, Plan plan, Names names, Tape tape, Path accessLogs)
         throws IOException {
-        Service service = names.with(day.titles().copies(), day.titles().length());
-        this.day = new DayScript(day.name(), day.seed(), day.length(), service, day.hosts(), day.titles(),
-            day.viewers(), day.gateways(), day.troubles());
+        this.day = day.withService(names.with(day.titles().copies(), day.titles().length()));
         this.trace = trace;
         this.plan = plan;
         this.names = names;
--- a/src/main/java/cypressvalve/load/sessions/Played.java
+++ b/src/main/java/cypressvalve/load/sessions/Played.java
@@ -35,12 +35,6 @@
             segments, bytes, patience, headless, outlasts, cutShort, live, started);
     }
 
-    /** The same playback under other names. */
-    public Played named(String otherTitle, String otherPlan, String otherTenant) {
-        return new Played(at, keys, otherTitle, otherPlan, otherTenant, screen, hint, length, tries, firstSegment,
-            lastSegment, segments, bytes, patience, headless, outlasts, cutShort, live, started);
-    }
-
     /** The time of its last request. */
     public long end() {
         return at + length;
--- a/src/main/java/cypressvalve/load/sessions/ServerClocks.java
+++ b/src/main/java/cypressvalve/load/sessions/ServerClocks.java
@@ -3,7 +3,9 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -17,26 +19,22 @@
     private static final int LEAST = 9;
     /** Steps kept for each pair, viewers remembered: a sample of a log's beginning is enough for a constant. */
     private static final int KEPT = 5000;
+    /** Segments remembered of each viewer: more of one viewer say little that others do not. */
+    private static final int OF_ONE = 40;
 
     private record Seen(int server, long segment, long at) { }
 
-    private final Map<String, Seen> last = new HashMap<>();
-    private final List<Long> pace = new ArrayList<>();
-    private final Map<Integer, Map<Integer, List<Long>>> steps = new HashMap<>();
+    private final Map<String, List<Seen>> viewers = new LinkedHashMap<>();
 
-    /** A segment's request as the server logged it. */
+    /** A segment's request as the server logged it, in any order. */
     public void seen(int server, String viewer, long segment, long at) {
-        Seen before = last.get(viewer);
-        if (before != null && segment == before.segment + 1) {
-            if (before.server == server) {
-                add(pace, at - before.at);
-            } else {
-                add(steps.computeIfAbsent(before.server, s -> new HashMap<>())
-                    .computeIfAbsent(server, s -> new ArrayList<>()), at - before.at);
-            }
+        List<Seen> all = viewers.get(viewer);
+        if (all == null && viewers.size() < KEPT) {
+            all = new ArrayList<>();
+            viewers.put(viewer, all);
         }
-        if (before != null || last.size() < KEPT) {
-            last.put(viewer, new Seen(server, segment, at));
+        if (all != null && all.size() < OF_ONE) {
+            all.add(new Seen(server, segment, at));
         }
     }
 
@@ -57,6 +55,15 @@
      * is known.
      */
     public long[] offsets(int servers) {
+        List<Long> pace = new ArrayList<>();
+        Map<Integer, Map<Integer, List<Long>>> steps = new HashMap<>();
+        for (List<Seen> all : viewers.values()) {
+            // In the order of segments: by time they stand in the order of wrong clocks.
+            all.sort(Comparator.comparingLong(Seen::segment));
+            for (int i = 1; i < all.size(); i++) {
+                step(all.get(i - 1), all.get(i), pace, steps);
+            }
+        }
         long[] offsets = new long[servers];
         boolean[] known = new boolean[servers];
         if (pace.size() < LEAST || servers == 0) {
@@ -68,7 +75,7 @@
         while (!next.isEmpty()) {
             int from = next.poll();
             for (int to = 0; to < servers; to++) {
-                Long ahead = known[to] ? null : ahead(from, to, usual);
+                Long ahead = known[to] ? null : ahead(steps, from, to, usual);
                 if (ahead != null) {
                     known[to] = true;
                     offsets[to] = offsets[from] - ahead;
@@ -79,8 +86,16 @@
         return offsets;
     }
 
+    private static void step(Seen before, Seen after, List<Long> pace, Map<Integer, Map<Integer, List<Long>>> steps) {
+        if (after.segment != before.segment + 1) {
+            return;
+        }
+        add(before.server == after.server ? pace : steps.computeIfAbsent(before.server, s -> new HashMap<>())
+            .computeIfAbsent(after.server, s -> new ArrayList<>()), after.at - before.at);
+    }
+
     /** By how much the second server's clock is ahead of the first's; null if too few viewers used both. */
-    private Long ahead(int from, int to, long usual) {
+    private static Long ahead(Map<Integer, Map<Integer, List<Long>>> steps, int from, int to, long usual) {
         List<Long> there = steps.getOrDefault(from, Map.of()).getOrDefault(to, List.of());
         List<Long> back = steps.getOrDefault(to, Map.of()).getOrDefault(from, List.of());
         List<Long> all = new ArrayList<>(there.size() + back.size());
--- a/src/main/java/cypressvalve/load/sessions/Sessionizer.java
+++ b/src/main/java/cypressvalve/load/sessions/Sessionizer.java
@@ -85,6 +85,10 @@
             return own.stream().filter(fits).max(Comparator.comparingLong(v -> v.heard)).orElse(null);
         }
 
+        private void aside(String reason) {
+            to.aside(reason);
+        }
+
         private boolean same(Visit v) {
             return m.title().isEmpty() || v.title.equals(m.title());
         }
@@ -117,11 +121,11 @@
         new Rule(s -> s.m.kind() == Meant.Kind.ASK && fetchedTwice(s) != null, s -> touch(fetchedTwice(s), s.m)),
         new Rule(s -> s.m.kind() == Meant.Kind.ASK, s -> ask(s.m)),
         new Rule(s -> s.m.kind() == Meant.Kind.END && s.newest(s::same) != null, s -> ended(s.newest(s::same), s.m)),
-        new Rule(s -> s.m.kind() == Meant.Kind.END, s -> aside("end of nothing open")),
+        new Rule(s -> s.m.kind() == Meant.Kind.END, s -> s.aside("end of nothing open")),
         new Rule(s -> s.follows() != null, s -> touch(s.follows(), s.m)),
         new Rule(s -> moved(s.m) != null, s -> move(moved(s.m), s.m)),
-        new Rule(s -> !s.m.served(), s -> aside("refused, of nothing open")),
-        new Rule(s -> s.m.title().isEmpty() || s.m.plan().isEmpty(), s -> aside("no request to watch before it")),
+        new Rule(s -> !s.m.served(), s -> s.aside("refused, of nothing open")),
+        new Rule(s -> s.m.title().isEmpty() || s.m.plan().isEmpty(), s -> s.aside("no request to watch before it")),
         new Rule(s -> true, s -> headless(s.m)));
 
     /** @param hash of a key, so that no playback carries its viewer's address */
@@ -294,10 +298,6 @@
         touch(v, m);
     }
 
-    private void aside(String reason) {
-        to.aside(reason);
-    }
-
     private static String place(String title, String agent) {
         return title + "\n" + agent;
     }
--- a/src/main/java/cypressvalve/load/source/Hit.java
+++ b/src/main/java/cypressvalve/load/source/Hit.java
@@ -17,10 +17,4 @@
  * @param more named cookies ("cookie:NAME") and fields ("field:NAME") that the source has
  */
 public record Hit(int server, int file, long line, long at, boolean coarse, String client, String agent,
-    String method, String uri, int status, long bytes, long took, String cmcd, Map<String, String> more) {
-
-    /** The same request at another time. */
-    public Hit at(long other) {
-        return new Hit(server, file, line, other, coarse, client, agent, method, uri, status, bytes, took, cmcd, more);
-    }
-}
+    String method, String uri, int status, long bytes, long took, String cmcd, Map<String, String> more) { }
--- a/src/main/java/cypressvalve/load/trace/TraceReader.java
+++ b/src/main/java/cypressvalve/load/trace/TraceReader.java
@@ -84,8 +84,7 @@
 
     private Frame frame() throws IOException {
         long began = offset;
-        CRC32C before = all;
-        long sumBefore = before.getValue();
+        long sumBefore = all.getValue();
         int length = 0;
         int shift = 0;
         byte[] prefix = new byte[5];
--- a/src/main/java/cypressvalve/session/Loop.java
+++ b/src/main/java/cypressvalve/session/Loop.java
@@ -8,9 +8,6 @@
     /** Runs the task on the loop once so many nanoseconds have passed, a millisecond at least. */
     Cancel executeAfter(Runnable task, long delay);
 
-    /** Whether the caller is on the loop. */
-    boolean inLoop();
-
     /** Takes a timer back. */
     interface Cancel {
         void cancel();
--- a/src/main/java/cypressvalve/session/XnioLoop.java
+++ b/src/main/java/cypressvalve/session/XnioLoop.java
@@ -23,9 +23,4 @@
             TimeUnit.MILLISECONDS);
         return key::remove;
     }
-
-    @Override
-    public boolean inLoop() {
-        return Thread.currentThread() == thread;
-    }
 }
--- a/src/main/java/cypressvalve/trouble/DayScript.java
+++ b/src/main/java/cypressvalve/trouble/DayScript.java
@@ -44,6 +44,26 @@
     /** How many gateways. */
     public record Gateways(int count) { }
 
+    /** The same day by another seed. */
+    public DayScript withSeed(long other) {
+        return new DayScript(name, other, length, service, hosts, titles, viewers, gateways, troubles);
+    }
+
+    /** The same day, so long. */
+    public DayScript withLength(long other) {
+        return new DayScript(name, seed, other, service, hosts, titles, viewers, gateways, troubles);
+    }
+
+    /** The same day of a service with other titles or plans. */
+    public DayScript withService(Service other) {
+        return new DayScript(name, seed, length, other, hosts, titles, viewers, gateways, troubles);
+    }
+
+    /** The same day with other troubles. */
+    public DayScript withTroubles(List<Trouble> others) {
+        return new DayScript(name, seed, length, service, hosts, titles, viewers, gateways, others);
+    }
+
     /** Reads a day's script whole; faults go to the file's list. */
     public static DayScript read(Doc doc) {
         Doc.Section root = doc.root();
--- a/src/main/java/cypressvalve/trouble/TroublePlayer.java
+++ b/src/main/java/cypressvalve/trouble/TroublePlayer.java
@@ -181,10 +181,4 @@
             at(AGEING_STEP_MS * 1_000_000, () -> ageing(t, struck, step + 1));
         }
     }
-
-    /** The kinds of a script's troubles, for the report. */
-    public static String kinds(DayScript day) {
-        return String.join("+", day.troubles().stream()
-            .map(t -> t.kind().name().toLowerCase(java.util.Locale.ROOT)).distinct().toList());
-    }
 }
--- a/src/test/java/cypressvalve/cli/LoadCommandsTest.java
+++ b/src/test/java/cypressvalve/cli/LoadCommandsTest.java
@@ -55,7 +55,7 @@
         assertTrue(said.contains("multiply by 3"), said);
         assertEquals(0, run("load", "shift", path("t"), "--later", "1h", "-o", path("later")));
         assertEquals(0, run("load", "join", path("t"), path("later"), "-o", path("both")));
-        Files.writeString(directory.resolve("day.yaml"), RehearseCommand.builtIn());
+        Files.writeString(directory.resolve("day.yaml"), Scripts.builtIn());
         assertEquals(0, run("plan", "bottleneck", path("day.yaml"), "--trace", path("t"), "--json"));
         assertTrue(said.contains("\"resource\" : \"links\""), said);
         assertEquals(0, run("lab", "run", path("day.yaml"), "--trace", path("a"), "--tape", path("tape")));
@@ -80,12 +80,12 @@
         assertEquals(1, run("load", "import", path("log"), "--key", path("key"), "-o", path("t")));
         run("load", "make", path("log"), "--span", "20s", "--length", "300s", "--rate", "1", "--map", path("map"));
         assertEquals(0, run("load", "import", path("log"), "--map", path("map"), "-o", path("t")));
-        Files.writeString(directory.resolve("day.yaml"), RehearseCommand.builtIn());
+        Files.writeString(directory.resolve("day.yaml"), Scripts.builtIn());
         byte[] trace = Files.readAllBytes(directory.resolve("t"));
         Files.write(directory.resolve("cut"), Arrays.copyOf(trace, trace.length / 2));
         assertEquals(1, run("load", "replay", path("cut")));
         assertTrue(said.contains("at byte") && !said.contains("sent"), said);
-        Files.writeString(directory.resolve("day.yaml"), RehearseCommand.builtIn().replace("recorded-plus", "other"));
+        Files.writeString(directory.resolve("day.yaml"), Scripts.builtIn().replace("recorded-plus", "other"));
         assertEquals(1, run("load", "replay", path("t"), "--day", path("day.yaml")));
         assertTrue(said.contains("recorded-plus"), said);
     }
--- a/src/test/java/cypressvalve/rehearsal/FloodBench.java
+++ b/src/test/java/cypressvalve/rehearsal/FloodBench.java
@@ -96,8 +96,7 @@
 
     private static void run(DayScript of, Path trace, int times, Gate.Limits gate, boolean warmUp) throws Exception {
         Names names = Names.of(trace, Map.of(), of.service());
-        DayScript day = new DayScript(of.name(), of.seed(), of.length(), names.with(3, 600 * SECOND), of.hosts(),
-            of.titles(), of.viewers(), of.gateways(), List.of());
+        DayScript day = of.withService(names.with(3, 600 * SECOND)).withTroubles(List.of());
         GatewaySettings.Limits d = GatewaySettings.Limits.DEFAULT;
         Judge judge = new Judge();
         Histogram rejects = new Histogram(120 * SECOND, 3);
--- a/src/test/java/cypressvalve/session/SessionCoreTest.java
+++ b/src/test/java/cypressvalve/session/SessionCoreTest.java
@@ -343,11 +343,6 @@
             return () -> item.cancelled[0] = true;
         }
 
-        @Override
-        public boolean inLoop() {
-            return true;
-        }
-
         void run() {
             advance(0);
         }
