Stand-in and laboratory share the host's model, viewers' habits and first sessions

Change: ColdStart, HostSpec's load and draws, Habits.comesAgainIn and Adoption stand once, free of I/O, and both use them.

--- a/src/main/java/cypressvalve/lab/Lab.java
+++ b/src/main/java/cypressvalve/lab/Lab.java
@@ -7,6 +7,7 @@
 import cypressvalve.judge.Finding;
 import cypressvalve.judge.Judge;
 import cypressvalve.model.MediaHost;
+import cypressvalve.rehearsal.Adoption;
 import cypressvalve.rehearsal.Stage;
 import cypressvalve.rehearsal.Summary;
 import cypressvalve.standin.Player;
@@ -131,10 +132,11 @@
     public Map<Integer, List<Finding>> play(DoubleConsumer progress) {
         begun = true;
         early.clear();
-        Map<Crowd.Coming, String> resumed = new HashMap<>();
+        Map<Crowd.Coming, Adoption.Adopted> resumed = new HashMap<>();
+        Adoption adoption = new Adoption(day);
         Random first = new Random(day.seed() * 7 + 1);
         for (Crowd.Coming c : crowd) {
-            String session = c.resumes() ? adopt(c.viewer(), first) : null;
+            Adoption.Adopted session = c.resumes() ? adoption.of(c.viewer(), first, hosts) : null;
             if (session != null) {
                 resumed.put(c, session);
             }
@@ -150,10 +152,10 @@
         new TroublePlayer(day, this, time::after, tape).play();
         for (Crowd.Coming c : crowd) {
             LabViewer viewer = new LabViewer(this, c.viewer());
-            String name = resumed.get(c);
-            if (name != null) {
-                LabGateway gateway = gateways.get(Integer.parseInt(name.substring(1, name.indexOf('-'))));
-                Front.Playing session = gateway.front().playing(name);
+            Adoption.Adopted adopted = resumed.get(c);
+            if (adopted != null) {
+                LabGateway gateway = gateways.get(adopted.gateway());
+                Front.Playing session = gateway.front().playing(adopted.id());
                 time.after(0, session == null ? viewer::start : () -> viewer.resume(gateway, session));
             } else {
                 time.after(c.at(), viewer::start);
@@ -179,33 +181,6 @@
         return judge.finish();
     }
 
-    private long adopted;
-    private final Map<String, Integer> seats = new HashMap<>();
-
-    private String adopt(Player.Viewer viewer, Random first) {
-        Service service = day.service();
-        Service.TitleRow title = service.titles().get(viewer.title());
-        Service.PlanRow plan = service.plans().get(viewer.plan());
-        int gateway = first.nextInt(day.gateways().count());
-        String seat = gateway + "/" + viewer.plan() + "/" + viewer.title();
-        if (plan.seats() > 0 && seats.getOrDefault(seat, 0) >= plan.seats()) {
-            return null;
-        }
-        String id = "g" + gateway + "-" + String.format("%024x", ++adopted);
-        int rung = Math.max(plan.floor(), Math.min(Math.min(viewer.screen(), plan.top()),
-            service.ladder().length / 2));
-        String about = viewer.screen() + " " + viewer.hint() * SECOND + " " + viewer.tenant() + " ";
-        for (int i = 0; i < title.copies(); i++) {
-            int cell = (title.first() + i) % service.fleet().cells();
-            if (cell < hosts.size() && hosts.get(cell).adopt(id + ".0", gateway, title.key(), plan.name(), rung,
-                about)) {
-                seats.merge(seat, 1, Integer::sum);
-                return id;
-            }
-        }
-        return null;
-    }
-
     Simulation time() {
         return time;
     }
--- a/src/main/java/cypressvalve/lab/LabHost.java
+++ b/src/main/java/cypressvalve/lab/LabHost.java
@@ -4,6 +4,8 @@
 import cypressvalve.host.LoadReport;
 import cypressvalve.host.SetUpOrder;
 import cypressvalve.model.Verdict;
+import cypressvalve.rehearsal.Adoption;
+import cypressvalve.standin.ColdStart;
 import cypressvalve.standin.HostSpec;
 import cypressvalve.tape.Tape;
 import java.util.ArrayDeque;
@@ -20,13 +22,10 @@
  * exponential time, sessions share the link in proportion, a fresh host warms and falls over when pushed. docs/lab.md
  * has the models and what they leave out.
  */
-final class LabHost {
+final class LabHost implements Adoption.Host {
     private static final long SECOND = 1_000_000_000L;
-    /** As in the stand-in: transfers run at four times the rate at most, notes and leases are looked at ten times a second. */
-    private static final double FASTEST = 4;
-    private static final int FALL_SLACK = 2;
+    /** Notes and leases are looked at ten times a second, as by the stand-in. */
     private static final long TICK = 100_000_000L;
-    private static final double START_FULL = 0.7;
     /** A transfer's rate is looked at again this often. */
     private static final long STEP = 250_000_000L;
 
@@ -49,10 +48,8 @@
         void done(boolean whole, String why);
     }
 
-    private record Stream(String title, String plan, int rung) { }
-
     /** A try or a session that the host holds. */
-    private static final class Held {
+    private static final class Held implements HostSpec.Carries {
         final String name;
         final int gateway;
         final String title;
@@ -74,6 +71,31 @@
             this.rung = rung;
             this.about = about;
         }
+
+        @Override
+        public boolean playing() {
+            return playing;
+        }
+
+        @Override
+        public String title() {
+            return title;
+        }
+
+        @Override
+        public String plan() {
+            return plan;
+        }
+
+        @Override
+        public int rung() {
+            return rung;
+        }
+
+        @Override
+        public double factor() {
+            return factor;
+        }
     }
 
     private final Simulation time;
@@ -84,7 +106,7 @@
     private final Map<String, Held> held = new LinkedHashMap<>();
     private final Set<String> withdrawn = new HashSet<>();
     private final ArrayDeque<Held> queue = new ArrayDeque<>();
-    private final ArrayDeque<Long> arrivals = new ArrayDeque<>();
+    private final ColdStart start;
     private final Map<Integer, Listener> listeners = new LinkedHashMap<>();
     boolean hang;
     boolean answersLost;
@@ -96,7 +118,6 @@
     private boolean up;
     private boolean fallen;
     private boolean wasShort;
-    private boolean cold;
     private long startedAt;
     private long lastNotes;
     private double smoothed = 1;
@@ -108,6 +129,7 @@
         this.uplink = uplink;
         this.tape = tape;
         chance = new Random(spec.seed());
+        start = new ColdStart(spec.cold(), spec.places());
     }
 
     HostSpec spec() {
@@ -130,8 +152,8 @@
     void start(boolean warm) {
         life++;
         up = true;
-        cold = !warm;
         startedAt = time.now();
+        start.begin(startedAt, warm);
         lastNotes = time.now();
         tape.put("host", "up", "host", spec.id(), "warm", warm, "places", spec.places(), "coldTime", spec.cold().time(),
             "coldShare", spec.cold().share(), "multiple", spec.cold().multiple(), "window", spec.cold().window());
@@ -155,7 +177,6 @@
         held.clear();
         queue.clear();
         withdrawn.clear();
-        arrivals.clear();
         working = 0;
         uplink.asks(spec.id(), 0);
         List<Listener> heard = new ArrayList<>(listeners.values());
@@ -171,15 +192,15 @@
     }
 
     /** A session that plays when the day begins; false if place or link does not allow it. */
-    boolean adopt(String name, int gateway, String title, String plan, int rung, String about) {
-        double kb = spec.ladder()[rung] * spec.plans().get(plan).factor();
-        if (held.size() >= spec.places() || asked() + kb >= START_FULL * spec.link()) {
+    @Override
+    public boolean adopt(String name, int gateway, String title, String plan, int rung, String about) {
+        if (!spec.roomAtStart(held.values(), plan, rung)) {
             return false;
         }
         Held fresh = new Held(name, gateway, title, plan, rung, about);
         fresh.playing = true;
         fresh.lastSeen = time.now();
-        fresh.factor = factor();
+        fresh.factor = spec.drawFactor(chance);
         held.put(name, fresh);
         share();
         tape.put("host", "adopted", "host", spec.id(), "gateway", gateway, "session", name, "playback",
@@ -187,10 +208,6 @@
         return true;
     }
 
-    private double factor() {
-        return 1 + spec.vary() * Math.max(-1.5, Math.min(1.5, chance.nextGaussian()));
-    }
-
     // Set-ups.
 
     void setUp(int gateway, SetUpOrder order, Ended ended) {
@@ -218,16 +235,7 @@
     }
 
     private boolean pushedOver() {
-        if (!cold || spec.cold().time() <= 0) {
-            return false;
-        }
-        long now = time.now();
-        arrivals.add(now);
-        while (!arrivals.isEmpty() && arrivals.peekFirst() < now - spec.cold().window()) {
-            arrivals.poll();
-        }
-        double pace = spec.places() / (double) spec.cold().time() * warmth();
-        if (arrivals.size() <= spec.cold().multiple() * pace * spec.cold().window() + FALL_SLACK) {
+        if (!start.pushedOver(time.now())) {
             return false;
         }
         fallen = true;
@@ -235,18 +243,6 @@
         return true;
     }
 
-    private double warmth() {
-        if (!cold || spec.cold().time() <= 0) {
-            return 1;
-        }
-        double age = (time.now() - startedAt) / (double) spec.cold().time();
-        if (age >= 1) {
-            cold = false;
-            return 1;
-        }
-        return spec.cold().share() + (1 - spec.cold().share()) * age;
-    }
-
     private void work() {
         while (working < spec.cores() && !queue.isEmpty() && !hang) {
             Held next = queue.poll();
@@ -254,8 +250,7 @@
                 continue;
             }
             working++;
-            double mean = spec.plans().get(next.plan).work() / warmth();
-            long took = (long) (mean * (0.25 + -0.75 * Math.log(1 - chance.nextDouble())));
+            long took = spec.drawWork(next.plan, start.warmth(time.now()), chance);
             int born = life;
             time.after(took, () -> {
                 if (born == life) {
@@ -273,7 +268,7 @@
         }
         session.playing = true;
         session.lastSeen = time.now();
-        session.factor = factor();
+        session.factor = spec.drawFactor(chance);
         share();
         if (hang || answersLost) {
             tape.put("host", "answer-lost", "host", spec.id(), "session", session.name);
@@ -324,29 +319,9 @@
 
     // The link.
 
-    private double rate(Held h, int rung) {
-        return spec.ladder()[rung] * spec.plans().get(h.plan).factor() * h.factor;
-    }
-
-    private double asked() {
-        Set<Stream> streams = null;
-        double sum = 0;
-        for (Held h : held.values()) {
-            if (h.playing) {
-                boolean joins = false;
-                if (spec.live().get(h.title)) {
-                    streams = streams == null ? new HashSet<>() : streams;
-                    joins = !streams.add(new Stream(h.title, h.plan, h.rung));
-                }
-                sum += rate(h, h.rung) * (joins ? spec.joinShare() : 1);
-            }
-        }
-        return sum;
-    }
-
     private void share() {
-        double asked = asked();
-        linkUse = asked / (spec.link() * linkPart * warmth());
+        double asked = spec.asked(held.values());
+        linkUse = asked / (spec.link() * linkPart * start.warmth(time.now()));
         uplink.asks(spec.id(), asked);
     }
 
@@ -370,7 +345,7 @@
             }
         };
         session.transfers.add(broken);
-        double kb = rate(session, rung) * spec.segment() / SECOND;
+        double kb = spec.rate(session, rung) * spec.segment() / SECOND;
         go(session, kb, over, () -> {
             session.transfers.remove(broken);
             transfer.done(true, "");
@@ -386,7 +361,7 @@
             return;
         }
         double use = Math.max(linkUse, uplink.use());
-        double perNano = hang ? 0 : rate(session, session.rung) * Math.min(FASTEST, 1 / Math.max(use, 1e-9)) / SECOND;
+        double perNano = hang ? 0 : spec.rate(session, session.rung) * Math.min(HostSpec.FASTEST, 1 / Math.max(use, 1e-9)) / SECOND;
         long needs = perNano <= 0 ? Long.MAX_VALUE : (long) (left / perNano);
         if (needs <= STEP) {
             time.after(needs, () -> {
--- a/src/main/java/cypressvalve/lab/LabViewer.java
+++ b/src/main/java/cypressvalve/lab/LabViewer.java
@@ -128,16 +128,12 @@
 
     private void comeAgain(long retryAfter) {
         lives++;
-        Player.Habits habits = lab.habits();
-        if (over || asks > habits.retries() || lab.chance().nextDouble() >= habits.returns()) {
+        long wait = over ? -1 : lab.habits().comesAgainIn(asks, retryAfter, lab.chance());
+        if (wait < 0) {
             put("stays-away");
             over = true;
             return;
         }
-        long wait = habits.comeLeast() + (long) (lab.chance().nextDouble() * (habits.comeMost() - habits.comeLeast()));
-        if (retryAfter > 0 && lab.chance().nextDouble() < habits.honour()) {
-            wait = Math.max(wait, retryAfter * SECOND);
-        }
         lab.time().after(wait, () -> ask(true));
     }
 
--- a/src/main/java/cypressvalve/rehearsal/Stage.java
+++ b/src/main/java/cypressvalve/rehearsal/Stage.java
@@ -55,8 +55,7 @@
     private final Map<Integer, String> uris = new java.util.concurrent.ConcurrentHashMap<>();
     private final Path keys;
     private final AtomicReference<Throwable> failure = new AtomicReference<>();
-    private final Map<String, Integer> seats = new HashMap<>();
-    private long adopted;
+    private final Adoption adoption;
     private int lives;
     /** Hosts that run when the day begins count as having run for long. */
     private long openedAt = Long.MAX_VALUE;
@@ -75,6 +74,7 @@
         this.accessLogs = accessLogs;
         this.limits = limits;
         this.day = day;
+        adoption = new Adoption(day);
         this.tape = tape;
         keys = Files.createTempFile("cypressvalve-keys", ".json");
         Files.writeString(keys, SessionUris.freshKeys());
@@ -193,28 +193,11 @@
      * @return the gateway and the path of its media playlist, or null if no holder has room or no seat is free
      */
     public Map.Entry<Integer, String> adopt(Player.Viewer viewer, Random chance) throws GeneralSecurityException {
-        Service service = day.service();
-        Service.TitleRow title = service.titles().get(viewer.title());
-        Service.PlanRow plan = service.plans().get(viewer.plan());
-        int gateway = chance.nextInt(day.gateways().count());
-        String seat = gateway + "/" + viewer.plan() + "/" + viewer.title();
-        if (plan.seats() > 0 && seats.getOrDefault(seat, 0) >= plan.seats()) {
-            return null;
-        }
-        String id = "g" + gateway + "-" + String.format("%024x", ++adopted);
-        int rung = Math.max(plan.floor(), Math.min(Math.min(viewer.screen(), plan.top()),
-            service.ladder().length / 2));
-        String about = viewer.screen() + " " + viewer.hint() * 1_000_000_000L + " " + viewer.tenant() + " ";
-        for (int i = 0; i < title.copies(); i++) {
-            int cell = (title.first() + i) % service.fleet().cells();
-            if (cell < hosts.size() && hosts.get(cell).adopt(id + ".0", gateway, title.key(), plan.name(), rung,
-                about)) {
-                seats.merge(seat, 1, Integer::sum);
-                return Map.entry(gateway, new SessionUris(read(keys)).path(
-                    new SessionUris.Named(title.key(), id, tape.now() / 1_000_000_000L + URI_LIFE_S)) + "/media.m3u8");
-            }
-        }
-        return null;
+        Adoption.Adopted adopted = adoption.of(viewer, chance,
+            hosts.stream().map(h -> (Adoption.Host) h::adopt).toList());
+        return adopted == null ? null : Map.entry(adopted.gateway(), new SessionUris(read(keys)).path(
+            new SessionUris.Named(viewer.title(), adopted.id(), tape.now() / 1_000_000_000L + URI_LIFE_S))
+            + "/media.m3u8");
     }
 
     private static String read(Path file) {
--- a/src/main/java/cypressvalve/standin/MediaHostServer.java
+++ b/src/main/java/cypressvalve/standin/MediaHostServer.java
@@ -47,15 +47,9 @@
     private static final HttpString GATEWAY = new HttpString("Cypressvalve-Gateway");
     private static final HttpString NOT_TAKEN = new HttpString("Cypressvalve-Not-Taken");
     private static final HttpString CMSD = new HttpString("CMSD-Dynamic");
-    /** A player may take a segment this much faster than it plays while the link has room. */
-    private static final double FASTEST = 4;
-    /** Pushing is counted with so many set-ups of slack, for chance. */
-    private static final int FALL_SLACK = 2;
     private static final long TICK_MS = 100;
     /** The machine kept this loop from running for so long: told on the tape, as records of it came as late. */
     private static final long STALLED = 50_000_000;
-    /** Sessions that are there at the start leave this much of the link's use free. */
-    private static final double START_FULL = 0.7;
     private static final ByteBuffer PACKETS = packets(4 << 20);
 
     private final HostSpec spec;
@@ -70,7 +64,7 @@
     private final ArrayDeque<Held> queue = new ArrayDeque<>();
     private final Set<ServerConnection> connections = new HashSet<>();
     private final Map<Integer, ServerSentEventConnection> notes = new HashMap<>();
-    private final Deque<Long> arrivals = new ArrayDeque<>();
+    private final ColdStart start;
     private Undertow server;
     private final AccessLog accessLog;
     private volatile int port;
@@ -80,13 +74,12 @@
     private boolean fallen;
     private boolean wasShort;
     private long startedAt;
-    private boolean cold;
     private long lastNotes;
     private long tickDue;
     private double smoothed = 1;
 
     /** A try or a session that the host holds. */
-    private static final class Held {
+    private static final class Held implements HostSpec.Carries {
         final String name;
         final int gateway;
         final String title;
@@ -106,6 +99,31 @@
             this.plan = plan;
             this.rung = rung;
         }
+
+        @Override
+        public boolean playing() {
+            return playing;
+        }
+
+        @Override
+        public String title() {
+            return title;
+        }
+
+        @Override
+        public String plan() {
+            return plan;
+        }
+
+        @Override
+        public int rung() {
+            return rung;
+        }
+
+        @Override
+        public double factor() {
+            return factor;
+        }
     }
 
     public MediaHostServer(HostSpec spec, Uplink uplink, Tape tape) {
@@ -119,6 +137,7 @@
         this.uplink = uplink;
         this.tape = tape;
         chance = new Random(spec.seed());
+        start = new ColdStart(spec.cold(), spec.places());
         try {
             worker = Xnio.getInstance().createWorker(OptionMap.builder().set(Options.WORKER_NAME, "host-" + spec.id())
                 .set(Options.WORKER_IO_THREADS, 1).set(Options.WORKER_TASK_CORE_THREADS, 1)
@@ -172,8 +191,8 @@
         on(() -> {
             life++;
             up = true;
-            cold = !warm;
             startedAt = tape.now();
+            start.begin(startedAt, warm);
             lastNotes = System.nanoTime();
             tickDue = 0;
             tape.put("host", "up", "host", spec.id(), "warm", warm, "places", spec.places(),
@@ -227,7 +246,6 @@
         held.clear();
         queue.clear();
         withdrawn.clear();
-        arrivals.clear();
         working = 0;
         notes.clear();
         uplink.asks(spec.id(), 0);
@@ -301,12 +319,11 @@
     public boolean adopt(String name, int gateway, String title, String plan, int rung, String about) {
         boolean[] taken = new boolean[1];
         on(() -> {
-            double kb = spec.ladder()[rung] * spec.plans().get(plan).factor();
-            if (held.size() < spec.places() && asked() + kb < START_FULL * spec.link()) {
+            if (spec.roomAtStart(held.values(), plan, rung)) {
                 Held fresh = new Held(name, gateway, title, plan, rung);
                 fresh.about = about;
                 fresh.playing = true;
-                fresh.factor = 1 + spec.vary() * Math.max(-1.5, Math.min(1.5, chance.nextGaussian()));
+                fresh.factor = spec.drawFactor(chance);
                 held.put(name, fresh);
                 share();
                 tape.put("host", "adopted", "host", spec.id(), "gateway", gateway, "session", name, "playback",
@@ -350,18 +367,8 @@
         }
     }
 
-    /** Rule 4 as the host feels it: over the multiple of its present pace for the window, it falls and stays down. */
     private boolean pushedOver() {
-        long now = System.nanoTime();
-        if (!cold || spec.cold().time() <= 0) {
-            return false;
-        }
-        arrivals.add(now);
-        while (!arrivals.isEmpty() && arrivals.peekFirst() < now - spec.cold().window()) {
-            arrivals.poll();
-        }
-        double pace = spec.places() / (double) spec.cold().time() * warmth();
-        if (arrivals.size() <= spec.cold().multiple() * pace * spec.cold().window() + FALL_SLACK) {
+        if (!start.pushedOver(tape.now())) {
             return false;
         }
         fallen = true;
@@ -374,18 +381,6 @@
         return fallen;
     }
 
-    private double warmth() {
-        if (!cold || spec.cold().time() <= 0) {
-            return 1;
-        }
-        double age = (tape.now() - startedAt) / (double) spec.cold().time();
-        if (age >= 1) {
-            cold = false;
-            return 1;
-        }
-        return spec.cold().share() + (1 - spec.cold().share()) * age;
-    }
-
     private void work() {
         while (working < spec.cores() && !queue.isEmpty() && !faults.hang) {
             Held next = queue.poll();
@@ -393,8 +388,7 @@
                 continue;
             }
             working++;
-            double mean = spec.plans().get(next.plan).work() / (faults.work * warmth());
-            long took = (long) (mean * (0.25 + -0.75 * Math.log(1 - chance.nextDouble())));
+            long took = spec.drawWork(next.plan, faults.work * start.warmth(tape.now()), chance);
             int born = life;
             thread.executeAfter(() -> {
                 if (born == life) {
@@ -412,7 +406,7 @@
         }
         session.playing = true;
         session.lastSeen = System.nanoTime();
-        session.factor = 1 + spec.vary() * Math.max(-1.5, Math.min(1.5, chance.nextGaussian()));
+        session.factor = spec.drawFactor(chance);
         share();
         if (faults.hang || faults.answersLost) {
             tape.put("host", "answer-lost", "host", spec.id(), "session", session.name);
@@ -478,27 +472,11 @@
 
     // The link.
 
-    private double rate(Held h) {
-        return spec.ladder()[h.rung] * spec.plans().get(h.plan).factor() * h.factor;
-    }
-
-    private double asked() {
-        Set<String> streams = new HashSet<>();
-        double sum = 0;
-        for (Held h : held.values()) {
-            if (h.playing) {
-                boolean joins = spec.live().get(h.title) && !streams.add(h.title + '/' + h.plan + '/' + h.rung);
-                sum += rate(h) * (joins ? spec.joinShare() : 1);
-            }
-        }
-        return sum;
-    }
-
     private double linkUse = 0;
 
     private void share() {
-        double asked = asked();
-        linkUse = asked / (spec.link() * faults.link * warmth());
+        double asked = spec.asked(held.values());
+        linkUse = asked / (spec.link() * faults.link * start.warmth(tape.now()));
         uplink.asks(spec.id(), asked);
     }
 
@@ -512,7 +490,7 @@
             return 0;
         }
         double use = Math.max(linkUse, uplink.use());
-        return rate(session) * Math.min(FASTEST, 1 / Math.max(use, 1e-9)) * 1000 / 1e9;
+        return spec.rate(session, session.rung) * Math.min(HostSpec.FASTEST, 1 / Math.max(use, 1e-9)) * 1000 / 1e9;
     }
 
     private void media(HttpServerExchange exchange, String name, String rung, String file) {
@@ -523,7 +501,7 @@
             return;
         }
         session.lastSeen = System.nanoTime();
-        double kb = spec.ladder()[Integer.parseInt(rung)] * spec.plans().get(session.plan).factor() * session.factor;
+        double kb = spec.rate(session, Integer.parseInt(rung));
         int bytes = (int) Math.min(PACKETS.capacity(), kb * 1000 * spec.segment() / 1e9 / 188) * 188;
         ByteBuffer body = PACKETS.duplicate();
         body.limit(Math.max(188, Math.min(bytes, PACKETS.capacity() / 188 * 188)));
--- a/src/main/java/cypressvalve/standin/Player.java
+++ b/src/main/java/cypressvalve/standin/Player.java
@@ -44,7 +44,23 @@
      * @param silent share of viewers who leave without a word
      */
     public record Habits(double returns, long comeLeast, long comeMost, double honour, double buffer, long starve,
-        double silent, int retries) { }
+        double silent, int retries) {
+
+        /**
+         * When a viewer who was turned away or broken off asks again: most do, some heed the time that they were given.
+         *
+         * @param asks requests so far
+         * @param retryAfter seconds that it was told, below 1 for none
+         * @return nanoseconds from now, or -1 if it stays away
+         */
+        public long comesAgainIn(int asks, long retryAfter, RandomGenerator chance) {
+            if (asks > retries || chance.nextDouble() >= returns) {
+                return -1;
+            }
+            long wait = comeLeast + (long) (chance.nextDouble() * (comeMost - comeLeast));
+            return retryAfter > 0 && chance.nextDouble() < honour ? Math.max(wait, retryAfter * SECOND) : wait;
+        }
+    }
 
     /** One viewer: what it wants, for how long. The hint is seconds, 0 for none. */
     public record Viewer(String name, String title, String plan, String tenant, int screen, boolean live, long length,
@@ -174,20 +190,14 @@
         return failure instanceof CompletionException && failure.getCause() != null ? failure.getCause() : failure;
     }
 
-    /** Most come again after a break or a rejection; some heed the time that they were given. */
     private void comeAgain(long retryAfter) {
         lives++;
-        Habits habits = world.habits();
-        if (over || asks > habits.retries() || world.chance().nextDouble() >= habits.returns()) {
+        long wait = over ? -1 : world.habits().comesAgainIn(asks, retryAfter, world.chance());
+        if (wait < 0) {
             put("stays-away");
             over = true;
             return;
         }
-        long wait = habits.comeLeast()
-            + (long) (world.chance().nextDouble() * (habits.comeMost() - habits.comeLeast()));
-        if (retryAfter > 0 && world.chance().nextDouble() < habits.honour()) {
-            wait = Math.max(wait, retryAfter * SECOND);
-        }
         world.timers().schedule(() -> ask(true), wait, TimeUnit.NANOSECONDS);
     }
 
