The planner's goal and loss leave the command; traces are named in one place

Cause: when a loss strikes and what counts as a goal reached were decided in the command, with tuned values, untested; three commands checked a trace's plans each in its own words.

Change: planner.Goal and planner.Loss with their tests; Scripts.names.

--- a/src/main/java/cypressvalve/cli/LabCommand.java
+++ b/src/main/java/cypressvalve/cli/LabCommand.java
@@ -72,11 +72,7 @@
             if (trace == null) {
                 lab = new Lab(script);
             } else {
-                Names names = Names.of(trace, Map.of(), script.service());
-                if (!names.unknownPlans().isEmpty()) {
-                    throw new Commands.Refusal(trace + ": plans that the service does not have: "
-                        + String.join(", ", names.unknownPlans()));
-                }
+                Names names = Scripts.names(trace, Map.of(), script);
                 script = script.withLength(Math.max(script.length(), TraceCrowd.span(trace)))
                     .withService(names.with(script.titles().copies(), script.titles().length()));
                 lab = new Lab(script, Policy.CONTROL, TraceCrowd.of(trace, names, script.service()));
--- a/src/main/java/cypressvalve/cli/PlanCommand.java
+++ b/src/main/java/cypressvalve/cli/PlanCommand.java
@@ -14,7 +14,9 @@
 import cypressvalve.planner.Demand;
 import cypressvalve.planner.Fleet;
 import cypressvalve.planner.Fluid;
+import cypressvalve.planner.Goal;
 import cypressvalve.planner.LeastHosts;
+import cypressvalve.planner.Loss;
 import cypressvalve.trouble.DayScript;
 import java.io.IOException;
 import java.io.PrintWriter;
@@ -75,11 +77,7 @@
             if (trace == null) {
                 demand = Fleet.demand(script);
             } else {
-                Names names = Names.of(trace, Map.of(), script.service());
-                if (!names.unknownPlans().isEmpty()) {
-                    throw new Commands.Refusal(trace + ": plans that the fleet does not have: "
-                        + String.join(", ", names.unknownPlans()));
-                }
+                Names names = Scripts.names(trace, Map.of(), script);
                 Demand.Gatherer gatherer = new Demand.Gatherer();
                 try (TraceReader in = TraceReader.open(trace)) {
                     for (Played p = in.next(); p != null; p = in.next()) {
@@ -174,12 +172,12 @@
             if (most < least) {
                 throw new Commands.Refusal("--most: expected " + least + " or more, as the day has so many racks or copies");
             }
-            String base = lose == null ? text : DayText.troubles(text, List.of(Map.of("kind", "crash",
-                "at", script.length() / 1000 * 2 / 5 + "us", "length", script.length() / 1000 * 3 / 10 + "us",
-                "part", "" + lose)));
+            String base = lose == null ? text
+                : DayText.troubles(text, List.of(new Loss(lose).trouble(script.length())));
+            Goal goal = new Goal(startup, delivered);
             PrintWriter err = spec.commandLine().getErr();
             LeastHosts.Answer answer = LeastHosts.search(least, most, n -> {
-                LeastHosts.Service service = service(script.name(), base, n);
+                LeastHosts.Service service = service(script.name(), base, n, goal);
                 err.printf(Locale.ROOT, "%d hosts: %.4f of the goal, by ± %.4f%n", n, service.mean(), service.half());
                 err.flush();
                 return service;
@@ -202,15 +200,14 @@
             return answer.sure() == 0 ? 1 : 0;
         }
 
-        /** The worse of both goals' shares, so that 1 means that both are met. */
-        private LeastHosts.Service service(String name, String text, int hosts) {
+        private LeastHosts.Service service(String name, String text, int hosts, Goal goal) {
             List<String> faults = new ArrayList<>();
             Experiment.Cell cell = new Experiment.Cell(name, Policy.CONTROL, Map.of("hosts", "" + hosts),
                 DayText.with(text, Map.of("hosts.count", "" + hosts, "service.fleet.cells", "" + hosts), faults));
             List<RunResult> results = new ArrayList<>();
             for (RunResult r : Runner.all(cell, 1, seeds)) {
                 results.add(new RunResult(r.cell(), r.seed(), Map.of("goal",
-                    Math.min(r.figures().get("startupMet") / startup, r.figures().get("delivered") / delivered))));
+                    goal.reached(r.figures().get("startupMet"), r.figures().get("delivered")))));
             }
             Comparison.Mean mean = new Comparison(results).mean(cell.name(), "goal");
             return new LeastHosts.Service(mean.mean(), mean.half());
--- a/src/main/java/cypressvalve/cli/ReplayCommand.java
+++ b/src/main/java/cypressvalve/cli/ReplayCommand.java
@@ -102,13 +102,7 @@
         if (calm) {
             script = script.withTroubles(List.of());
         }
-        Names names = Names.of(trace, plans, script.service());
-        List<String> unknown = names.unknownPlans();
-        if (!unknown.isEmpty()) {
-            throw new Commands.Refusal(trace + ": plans that the service does not have: " + String.join(", ", unknown)
-                + "; name them by --plan, or at import by plans.table. It has "
-                + String.join(", ", script.service().plans().keySet()));
-        }
+        Names names = Scripts.names(trace, plans, script);
         if (accessLogs != null) {
             Files.createDirectories(accessLogs);
         }
--- a/src/main/java/cypressvalve/cli/Scripts.java
+++ b/src/main/java/cypressvalve/cli/Scripts.java
@@ -1,11 +1,13 @@
 package cypressvalve.cli;
 
 import cypressvalve.config.Doc;
+import cypressvalve.load.replay.Names;
 import cypressvalve.trouble.DayScript;
 import java.io.IOException;
 import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.Map;
 
 /** Days' scripts as commands name them, or the built-in one. */
 final class Scripts {
@@ -30,6 +32,21 @@
         }
     }
 
+    /**
+     * What a trace's titles and plans are called in a day's service.
+     *
+     * @param plans other names for plans
+     */
+    static Names names(Path trace, Map<String, String> plans, DayScript day) throws IOException {
+        Names names = Names.of(trace, plans, day.service());
+        if (!names.unknownPlans().isEmpty()) {
+            throw new Commands.Refusal(trace + ": plans that the service does not have: "
+                + String.join(", ", names.unknownPlans()) + "; name them at import by plans.table, or at load replay by"
+                + " --plan. It has " + String.join(", ", day.service().plans().keySet()));
+        }
+        return names;
+    }
+
     /** Nothing but errors is logged by commands that print figures, unless asked for. */
     static void quietLogs() {
         if (System.getProperty("cypressvalve.log.level") == null) {
--- a/src/test/java/cypressvalve/planner/PlannerTest.java
+++ b/src/test/java/cypressvalve/planner/PlannerTest.java
@@ -102,6 +102,27 @@
         assertThrows(Demand.Unsupported.class, new Demand.Gatherer()::worst);
     }
 
+    @Test
+    void aGoalIsReachedOnlyIfBothSharesAre() {
+        Goal goal = new Goal(0.9, 0.8);
+        assertEquals(1, goal.reached(0.9, 0.95), 1e-12);
+        assertEquals(0.5, goal.reached(1, 0.4), 1e-12);
+        assertTrue(goal.reached(0.89, 1) < 1);
+    }
+
+    @Test
+    void aLossIsATroubleThatADayTakesAndLeavesTimeForTheReturn() {
+        String text = cypressvalve.lab.DayText.troubles(DAY.replace("UPLINK", "0").replace("COPIES", "3").replace("ZIPF",
+            "0").replace("SEATS", "0").replace("PLACES", "50"), List.of(new Loss(0.25).trouble(60 * SECOND)));
+        Doc doc = Doc.parse("plan", text);
+        DayScript day = DayScript.read(doc);
+        doc.verify();
+        assertEquals(1, day.troubles().size());
+        assertEquals(24 * SECOND, day.troubles().get(0).at());
+        assertEquals(42 * SECOND, day.troubles().get(0).end());
+        assertEquals(0.25, day.troubles().get(0).part());
+    }
+
     @Test
     void theLeastNumberOfHostsUnderNoise() {
         LeastHosts.Answer exact = LeastHosts.search(1, 100, n -> new LeastHosts.Service(n / 100.0, 0), 0.37);
