--- a/src/main/java/cypressvalve/cli/ConfigCommand.java
+++ b/src/main/java/cypressvalve/cli/ConfigCommand.java
@@ -4,8 +4,10 @@
 import cypressvalve.config.Doc;
 import cypressvalve.config.GatewaySettings;
 import cypressvalve.config.HostFile;
+import cypressvalve.lab.Experiment;
 import cypressvalve.load.map.Mapping;
 import cypressvalve.trouble.DayScript;
+import java.io.IOException;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.Callable;
@@ -38,12 +40,12 @@
         private CommandSpec spec;
 
         @Override
-        public Integer call() {
+        public Integer call() throws IOException {
             int faults = 0;
             for (Path file : files) {
                 try {
                     Doc doc = Doc.read(file);
-                    String kind = read(doc);
+                    String kind = read(doc, file);
                     doc.verify();
                     spec.commandLine().getOut().println(file + ": fine (" + kind + ")");
                 } catch (BadSettings e) {
@@ -55,7 +57,7 @@
             return faults == 0 ? 0 : 1;
         }
 
-        private static String read(Doc doc) {
+        private static String read(Doc doc, Path file) throws IOException {
             if (doc.root().has("day")) {
                 DayScript.read(doc);
                 return "a day's script";
@@ -64,6 +66,10 @@
                 HostFile.read(doc);
                 return "a media host's settings";
             }
+            if (doc.root().has("experiment")) {
+                Experiment.read(doc, file.toAbsolutePath().getParent());
+                return "an experiment";
+            }
             if (doc.root().has("requests")) {
                 Mapping.read(doc);
                 return "a mapping of load";
--- a/src/test/java/cypressvalve/cli/LoadCommandsTest.java
+++ b/src/test/java/cypressvalve/cli/LoadCommandsTest.java
@@ -90,6 +90,21 @@
         assertTrue(said.contains("recorded-plus"), said);
     }
 
+    @Test
+    void mappingsAndExperimentsAreCheckedWithTheDaysThatTheyName() throws Exception {
+        Files.writeString(directory.resolve("day.yaml"), Scripts.builtIn());
+        String grid = "experiment: {name: x, seeds: {count: 2}, days: [day.yaml], set: {viewers.rate: [1, 2]}}\n";
+        Files.writeString(directory.resolve("grid.yaml"), grid);
+        assertEquals(0, run("config", "check", path("grid.yaml"), path("day.yaml")));
+        Files.writeString(directory.resolve("grid.yaml"), grid.replace("viewers.rate", "viewers.rat"));
+        assertEquals(1, run("config", "check", path("grid.yaml")));
+        assertTrue(said.contains("viewers.rat"), said);
+        Files.writeString(directory.resolve("grid.yaml"), grid.replace("day.yaml", "none.yaml"));
+        assertEquals(1, run("config", "check", path("grid.yaml")));
+        Files.writeString(directory.resolve("map.yaml"), "source: {format: own}\nrequests: []\n");
+        assertEquals(1, run("config", "check", path("map.yaml")));
+    }
+
     @Test
     void usageErrorsAreTwo() {
         assertEquals(2, run("load"));
