--- a/src/main/java/cypressvalve/Control.java
+++ b/src/main/java/cypressvalve/Control.java
@@ -505,16 +505,18 @@
 
     /** The plan whose playing ones earn the least part of the revenue that they could. */
     private Plan worstServed() {
-        List<List<Playback>> byPlan = new ArrayList<>();
-        settings.plans.forEach(p -> byPlan.add(new ArrayList<>()));
-        playing.forEach(pb -> byPlan.get(settings.plans.indexOf(pb.plan)).add(pb));
-        return settings.plans.stream()
-            .min(Comparator.comparingDouble(p -> served(byPlan.get(settings.plans.indexOf(p))))).orElse(null);
-    }
-
-    private double served(List<Playback> of) {
-        double most = of.stream().mapToDouble(pb -> settings.rungRevenue[highest(pb)]).sum();
-        return most <= 0 ? 1 : of.stream().mapToDouble(pb -> settings.rungRevenue[pb.rung]).sum() / most;
+        Map<Plan, DoubleSummaryStatistics[]> sums = new IdentityHashMap<>();
+        settings.plans.forEach(p -> sums.put(p, new DoubleSummaryStatistics[] {
+            new DoubleSummaryStatistics(), new DoubleSummaryStatistics()}));
+        for (Playback pb : playing) {
+            DoubleSummaryStatistics[] plan = sums.get(pb.plan);
+            plan[0].accept(settings.rungRevenue[pb.rung]);
+            plan[1].accept(settings.rungRevenue[highest(pb)]);
+        }
+        return settings.plans.stream().min(Comparator.comparingDouble(p -> {
+            double most = sums.get(p)[1].getSum();
+            return most <= 0 ? 1 : sums.get(p)[0].getSum() / most;
+        })).orElse(null);
     }
 
     private static int highest(Playback pb) {
@@ -753,9 +755,8 @@
 
     /** Those that share the playback's stream, which step together, in the order in which they began. */
     private List<Playback> group(Playback pb) {
-        return !pb.plan.live ? List.of(pb) : pb.lastTry().host.playing().stream()
-            .filter(o -> o == pb || o.plan == pb.plan && o.rung == pb.rung && o.title == pb.title)
-            .sorted(Comparator.comparingLong(o -> o.turn)).toList();
+        return !pb.plan.live ? List.of(pb) : pb.lastTry().host.on(pb, pb.rung).stream()
+            .filter(o -> o.playing).sorted(Comparator.comparingLong(o -> o.turn)).toList();
     }
 
     private void step(List<Playback> group, int by) {
@@ -809,11 +810,12 @@
         Playback first = null;
         List<Playback> chosen = null;
         for (MediaHost host : low) {
-            if (host.quietWhile == wishes && now < host.quietUntil || !myPart(host, leastStep, STEP_UP_TO)) {
+            boolean known = host.quietWhile == wishes && now < host.quietUntil;
+            if (!fits(host, known ? host.leastWish : leastStep)) {
                 continue; // Spares a look at what it carries: none wants up, or our part has no room.
             }
             long next = Long.MAX_VALUE;
-            boolean quiet = true;
+            double least = Double.MAX_VALUE;
             for (int i = 0; i < host.carried.size(); i++) {
                 Playback pb = host.carried.get(i).playback;
                 boolean under = pb.playing && pb.rung < highest(pb);
@@ -824,21 +826,17 @@
                     || pb.rung >= fairRung(pb)) {
                     continue;
                 }
-                quiet = false;
-                if (!room(host, leastStep, STEP_UP_TO)) {
-                    break;
-                }
-                if (first == null || pb.turn < first.turn) {
-                    List<Playback> group = group(pb).stream()
-                        .filter(o -> highest(o) >= fairRung(pb)).toList();
-                    if (!group.isEmpty() && rungsUp(group) > 0) {
-                        first = pb;
-                        chosen = group;
-                    }
+                List<Playback> group = group(pb).stream().filter(o -> highest(o) >= fairRung(pb)).toList();
+                double kb = wishKb(group) + stepKb(pb, group.size(), pb.rung + 1);
+                least = Math.min(least, kb);
+                if ((first == null || pb.turn < first.turn) && fits(host, kb)) {
+                    first = pb;
+                    chosen = group;
                 }
             }
-            host.quietWhile = quiet ? wishes : -1;
+            host.quietWhile = wishes;
             host.quietUntil = next;
+            host.leastWish = least;
         }
         return chosen;
     }
@@ -871,15 +869,25 @@
         MediaHost host = pb.lastTry().host;
         int most = Math.min(fairRung(pb), group.stream().mapToInt(Playback::highest).min().orElse(0));
         int rung = pb.rung;
-        double kb = host.sharing(pb) > group.size() ? pb.plan.rates[rung] * (1 - settings.joinShare) : 0;
-        double mark = Double.isFinite(settings.uplink) && !known(host.rack.load) ? T_LOW : STEP_UP_TO;
-        while (rung < most && room(host, kb + stepKb(pb, group.size(), rung + 1), mark)
-            && myPart(host, kb + stepKb(pb, group.size(), rung + 1), mark)) {
+        double kb = wishKb(group);
+        while (rung < most && fits(host, kb + stepKb(pb, group.size(), rung + 1))) {
             kb += stepKb(pb, group.size(), ++rung);
         }
         return rung - pb.rung;
     }
 
+    /** What a group that leaves others behind on its stream adds before it steps: a stream of its own. */
+    private double wishKb(List<Playback> group) {
+        Playback pb = group.get(0);
+        boolean leaves = pb.lastTry().host.sharing(pb) > group.size();
+        return leaves ? pb.plan.rates[pb.rung] * (1 - settings.joinShare) : 0;
+    }
+
+    private boolean fits(MediaHost host, double kb) {
+        double mark = Double.isFinite(settings.uplink) && !known(host.rack.load) ? T_LOW : STEP_UP_TO;
+        return kb < Double.MAX_VALUE && myPart(host, kb, mark) && room(host, kb, mark);
+    }
+
     /**
      * Room that was told is shared as easing off is: each gateway takes as much of it as it has of the use,
      * the first step rounded by chance once a report, so that any number of them fill it once.
--- a/src/main/java/cypressvalve/model/MediaHost.java
+++ b/src/main/java/cypressvalve/model/MediaHost.java
@@ -1,9 +1,9 @@
 package cypressvalve.model;
 
 import java.util.ArrayList;
-import java.util.HashSet;
+import java.util.HashMap;
 import java.util.List;
-import java.util.Set;
+import java.util.Map;
 
 /** A media host as the list tells of it, and what this gateway saw of it. */
 public final class MediaHost {
@@ -44,9 +44,11 @@
     public final List<SetupTry> carried = new ArrayList<>();
     /** How many of these are under their highest rung. */
     public int low;
-    /** Nothing here wants a step up before that time, as long as the gateway's count of wishes stands. */
+    /** No more is wished here before that time, as long as the gateway's count of wishes stands. */
     public long quietWhile = -1;
     public long quietUntil;
+    /** Till then, kB a second that the least wished step up would add; the largest number if there is none. */
+    public double leastWish;
 
     public MediaHost(long id) {
         this.id = id;
@@ -54,13 +56,13 @@
 
     /** Whether the playback would share a stream that is carried here at that rung. */
     public boolean joins(Playback pb, int rung) {
-        for (int i = 0; i < carried.size() && pb.plan.live; i++) {
-            Playback other = carried.get(i).playback;
-            if (other != pb && other.title == pb.title && other.plan == pb.plan && other.rung == rung) {
-                return true;
-            }
-        }
-        return false;
+        List<Playback> there = on(pb, rung);
+        return !there.isEmpty() && (there.size() > 1 || there.get(0) != pb);
+    }
+
+    /** Those carried here on the live stream of that playback's title and plan at that rung, as last tallied. */
+    public List<Playback> on(Playback pb, int rung) {
+        return pb.plan.live ? streams.getOrDefault(new Stream(pb.title, pb.plan, rung), List.of()) : List.of();
     }
 
     /** The playbacks that play here. */
@@ -77,25 +79,35 @@
     /** How many play here on the stream of one that plays here, itself counted. */
     public int sharing(Playback pb) {
         int sharing = pb.plan.live ? 0 : 1;
-        for (int i = 0; i < carried.size() && pb.plan.live; i++) {
-            Playback other = carried.get(i).playback;
-            sharing += other.playing && other.title == pb.title && other.plan == pb.plan && other.rung == pb.rung
-                ? 1 : 0;
+        for (Playback other : on(pb, pb.rung)) {
+            sharing += other.playing ? 1 : 0;
         }
         return sharing;
     }
 
-    private record Stream(Title title, Plan plan, int rung) { }
+    private record Stream(Title title, Plan plan, int rung) {
+        @Override
+        public int hashCode() {
+            return (System.identityHashCode(title) * 31 + System.identityHashCode(plan)) * 31 + rung;
+        }
+    }
+
+    /** Live streams and those carried on each, as of the last tally; only looked up in, never walked. */
+    private final Map<Stream, List<Playback>> streams = new HashMap<>();
 
     /** Works out anew what the carried playbacks ask for; a joined one adds its share. */
     public void tally(long now, double joinShare) {
         double sum = 0;
         low = 0;
-        Set<Stream> streams = carried.size() > 1 ? new HashSet<>() : null;
+        streams.clear();
         for (SetupTry setupTry : carried) {
             Playback pb = setupTry.playback;
-            boolean joins = pb.plan.live && streams != null && !streams.add(new Stream(pb.title, pb.plan, pb.rung));
-            sum += pb.plan.rates[pb.rung] * (joins ? joinShare : 1);
+            List<Playback> stream = !pb.plan.live ? null : streams.computeIfAbsent(
+                new Stream(pb.title, pb.plan, pb.rung), k -> new ArrayList<>(2));
+            sum += pb.plan.rates[pb.rung] * (stream == null || stream.isEmpty() ? 1 : joinShare);
+            if (stream != null) {
+                stream.add(pb);
+            }
             low += pb.rung < pb.highest() ? 1 : 0;
         }
         rack.own.set(now, rack.own.newest() + sum - own.newest());
