The judge takes off all of a host's standing still, and drains get it too

Cause: a host whose loop stood still several times in a row was given the longest of them only, so on a slow machine rule 2 was found broken where tries were recorded late; rule 3 gave a host no such time at all.

Change: between two times a host counts for what its loop ran; what can't be said yet, as the host still stands, is looked at again.

Measured: JudgeTest, with a tape that keeps and one that breaks each by a millisecond or so.

--- a/src/test/java/cypressvalve/judge/JudgeTest.java
+++ b/src/test/java/cypressvalve/judge/JudgeTest.java
@@ -142,6 +142,27 @@
         broken(2);
     }
 
+    @Test
+    void standingStillTwiceIsGivenBothTimesAndNoMore() {
+        setup(10, 1, "p", 0, "plain");
+        setup(20, 2, "p", 1, "plain");
+        at(300, "host", "stalled", "host", 1, "nanos", 200 * MS);
+        at(3400, "host", "stalled", "host", 1, "nanos", 3090 * MS);
+        release(3409, "p.0");
+        broken();
+        tape.remove(tape.size() - 1);
+        release(3411, "p.0");
+        broken(2);
+    }
+
+    @Test
+    void aTryWhoseHostNeverRunsAgainIsNotTakenForEnded() {
+        setup(10, 1, "p", 0, "plain");
+        setup(20, 2, "p", 1, "plain");
+        at(4000, "host", "stalled", "host", 1, "nanos", 3970 * MS);
+        broken(2);
+    }
+
     @Test
     void aPaidPlanTriedAgainAfterATryThatMayHaveRun() {
         setup(10, 1, "p", 0, "paid");
@@ -215,6 +236,17 @@
         broken();
     }
 
+    @Test
+    void aSetUpThatADrainingHostRecordsLateSinceItStoodStillIsKept() {
+        at(10, "list", "told", "gateway", 0, "host", 1, "state", "draining");
+        setup(900, 1, "p", 0, "plain");
+        at(910, "host", "stalled", "host", 1, "nanos", 310 * MS);
+        broken();
+        tape.remove(tape.size() - 1);
+        at(910, "host", "stalled", "host", 1, "nanos", 290 * MS);
+        broken(3);
+    }
+
     private void coldStart(int setups) {
         // 20 places over 10 s at half warmth, times 4, in one second: 4, and 2 of slack.
         at(10, "host", "up", "host", 1, "warm", false, "places", 20, "coldTime", 10_000 * MS, "coldShare", 0.5,
