Places count: homes by places, and a host full of streams is passed over for a while

Cause: simulated at 310 hosts and 320 gateways with 16 copies of each title three of ten set-ups were further tries. 5,700 of them were turned away by hosts whose places were taken by viewers of one live title: joined streams fill places before links, no report tells of places, and all gateways kept to the told home.

Change: a live or recorded title that our viewers of it times the gateways would need several hosts' places for has that many homes, told of or not; a host that turned us away, other than for its link, has no room for 10 s and comes last where nobody has room.

--- a/src/main/java/cypressvalve/Control.java
+++ b/src/main/java/cypressvalve/Control.java
@@ -131,6 +131,7 @@
         host.tally(now, settings.joinShare);
         // Reports in answers are noisy and late: taken only where no note has come; to be turned away is one.
         boolean full = verdict == Verdict.FULL && settings.fullFrom > 0;
+        host.fullAt = verdict == Verdict.FULL && !full ? now : host.fullAt;
         if (full || host.load.since(now - SHORT_LIFE) == 0) {
             takeReport(host, full ? settings.fullFrom : link, uplink, now - REPORT_AGE);
         }
@@ -434,11 +435,22 @@
         return pb.plan.rates[rung] * (host.joins(pb, rung) ? settings.joinShare : 1);
     }
 
+    /**
+     * Departure: streams run out before links do where many join, and no report tells of them. A host that
+     * turned us away, other than for its link, counts as full for about a report's life: a place may free
+     * sooner, but to any of the other gateways.
+     */
+    private static final long FULL_LIFE = REPORT_LIFE;
+
+    private boolean full(MediaHost host) {
+        return now - host.fullAt < FULL_LIFE;
+    }
+
     /** An uplink may be fuller than a link: it sums some ten times the playbacks and swings less. */
     private static final double UPLINK_MORE = 0.08;
 
     private boolean room(MediaHost host, double kb, double mark) {
-        return load(host) + kb / host.link <= mark
+        return !full(host) && load(host) + kb / host.link <= mark
             && rackLoad(host.rack) + kb / settings.uplink <= mark + UPLINK_MORE;
     }
 
@@ -578,20 +590,19 @@
     private static final long PROBE_WAIT = 100_000_000;
 
     /**
-     * Departure: where the home is not told of, a title that one link cannot carry has several, the next in
-     * the same order, and each gateway keeps to one by its own number: with many gateways all would send to
-     * the first long after it is full. Viewers that share streams stay together on as few as carry them.
+     * Departure: a title that one untold link cannot carry, or one host's places where no full link turns
+     * away first, has several homes, the next in the same order, and each gateway keeps to one by its own
+     * number: with many gateways all would send to the first long after it is full. Viewers that share
+     * streams stay on as few as carry them.
      */
     private MediaHost home(Playback pb, List<MediaHost> well) {
         MediaHost first = well.get(0);
-        if (known(first.load)) {
-            return first;
-        }
         long near = well.stream().filter(h -> h.zone.equals(first.zone)).count();
-        long held = pb.title.playing.values().stream().mapToInt(n -> n).sum();
-        double links = pb.plan.live ? held * settings.gateways * settings.joinShare
-            * pb.plan.rates[highest(pb) / 2] / (T_HIGH * first.link) : near / 2;
-        int several = (int) Math.max(1, Math.min(near, links));
+        double held = pb.title.playing.values().stream().mapToInt(n -> n).sum() * (double) settings.gateways;
+        double hosts = known(first.load) ? 0 : !pb.plan.live ? near / 2
+            : held * settings.joinShare * pb.plan.rates[highest(pb) / 2] / (T_HIGH * first.link);
+        double byPlaces = settings.fullFrom > 0 ? 0 : held / (T_HIGH * first.places);
+        int several = (int) Math.max(1, Math.min(near, Math.max(hosts, byPlaces)));
         return well.get(Math.floorMod(hash(pb.title.key, settings.me), several));
     }
 
@@ -618,7 +629,8 @@
             }
         }
         // Departure: nobody is turned away on a guess, nor while the lowest rung still fits a told link.
-        return well.stream().sorted(Comparator.comparingDouble(this::load)).filter(h -> shortLoad(h) == 0
+        return well.stream().sorted(Comparator.comparing(this::full).thenComparingDouble(this::load))
+            .filter(h -> shortLoad(h) == 0
             && (!known(h.load) || load(h) + added(pb, h, pb.plan.floor) / h.link <= FULL_SHARE)
             && (!known(h.rack.load)
             || rackLoad(h.rack) + added(pb, h, pb.plan.floor) / settings.uplink <= FULL_SHARE))
--- a/src/main/java/cypressvalve/model/MediaHost.java
+++ b/src/main/java/cypressvalve/model/MediaHost.java
@@ -38,6 +38,8 @@
     public final Samples asked = new Samples(4);
     /** What this gateway's own playbacks ask of it, kB a second. */
     public final Samples own = new Samples(128);
+    /** When it last turned a set-up of this gateway away as full. */
+    public long fullAt = Long.MIN_VALUE / 2;
     public long probedAt = Long.MIN_VALUE / 2;
     public boolean probeOut;
     /** Tries out or playing here. */
