--- a/src/main/java/cypressvalve/lab/DayText.java
+++ b/src/main/java/cypressvalve/lab/DayText.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.databind.node.TextNode;
 import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
@@ -31,7 +30,9 @@
                 String[] parts = path.split("\\.");
                 JsonNode at = root;
                 for (int i = 0; i < parts.length - 1; i++) {
-                    at = at.path(parts[i]);
+                    // A number in a path names a row of a list, from 0.
+                    at = at.isArray() && parts[i].matches("[0-9]{1,6}") ? at.path(Integer.parseInt(parts[i]))
+                        : at.path(parts[i]);
                 }
                 if (at instanceof ObjectNode group) {
                     group.set(parts[parts.length - 1], TextNode.valueOf(value));
@@ -46,15 +47,11 @@
     }
 
     /** The text with other troubles in place of its own. */
-    public static String troubles(String text, List<Map<String, String>> troubles) {
+    public static String troubles(String text, List<? extends Map<String, ?>> troubles) {
         try {
             JsonNode root = YAML.readTree(text);
             if (root instanceof ObjectNode all) {
-                ArrayNode list = all.putArray("troubles");
-                troubles.forEach(t -> {
-                    ObjectNode one = list.addObject();
-                    t.forEach(one::put);
-                });
+                all.set("troubles", YAML.valueToTree(troubles));
             }
             return YAML.writeValueAsString(root);
         } catch (JsonProcessingException e) {
--- a/src/main/java/cypressvalve/lab/Lab.java
+++ b/src/main/java/cypressvalve/lab/Lab.java
@@ -105,7 +105,7 @@
             states[i] = MediaHost.State.ACTIVE;
             LabHost host = new LabHost(time, Stage.spec(new HostFile(i, 0, true, link, 0, h.cores(), h.queue(),
                 h.work(), h.vary(), h.lease(), h.noise(), day.seed() * 1009 + i, null, service)),
-                uplinks.get(i % service.fleet().racks()), tape);
+                uplinks.get(day.rackOf(i)), tape);
             host.start(true);
             hosts.add(host);
         }
@@ -120,7 +120,7 @@
     private ListEntry entry(int i) {
         long started = hosts.get(i).startedAt();
         return new ListEntry(new HostAddress(i, "lab", 1 + i), states[i], 1, started < openedAt ? 0 : started, i,
-            day.service().fleet().places().keySet().iterator().next(), "");
+            day.service().fleet().places().keySet().iterator().next(), day.zoneOfRack(day.rackOf(i)));
     }
 
     /**
@@ -192,6 +192,11 @@
         tape.also(kept::copy);
     }
 
+    /** What was told before a reader could be added, in order; for readers that are added now. */
+    public List<TapeRecord> early() {
+        return List.copyOf(early);
+    }
+
     /** The run's tape, in simulated time; readers may be added before the day is played. */
     public Tape tape() {
         return tape;
@@ -320,7 +325,7 @@
     public void gateway(int number, boolean up) {
         if (up) {
             tape.put("gateway", "up", "gateway", number);
-            gateways.put(number, new LabGateway(time, day.service(), number, day.gateways().count(),
+            gateways.put(number, new LabGateway(time, day.service(), number, day.gateways().count(), day.zoneOfGateway(number),
                 day.seed() * 7919 + number + 100_003L * lives++, hosts, list, ONE_WAY,
                 time.now() < openedAt + BEGINNING, policy, cause -> failure = failure == null ? cause : failure));
         } else {
--- a/src/main/java/cypressvalve/lab/LabGateway.java
+++ b/src/main/java/cypressvalve/lab/LabGateway.java
@@ -17,7 +17,7 @@
     private static final int SESSIONS = 20_000;
 
     /** Where a gateway stands: what it may use. */
-    record Place(Simulation time, Service service, int number, int of, long seed, LabClient client, LabList list,
+    record Place(Simulation time, Service service, int number, int of, String zone, long seed, LabClient client, LabList list,
         boolean takeUp) { }
 
     private final Place place;
@@ -26,14 +26,14 @@
     private boolean alive = true;
 
     /** @param takeUp whether it begins with the service */
-    LabGateway(Simulation time, Service service, int number, int of, long seed, List<LabHost> hosts, LabList list,
+    LabGateway(Simulation time, Service service, int number, int of, String zone, long seed, List<LabHost> hosts, LabList list,
         long oneWay, boolean takeUp, Policy policy, Consumer<Throwable> onFailure) {
-        place = new Place(time, service, number, of, seed, new LabClient(time, number, hosts, oneWay), list, takeUp);
+        place = new Place(time, service, number, of, zone, seed, new LabClient(time, number, hosts, oneWay), list, takeUp);
         front = policy == Policy.CONTROL ? core(place, onFailure) : new Baseline(place, policy);
     }
 
     private static Front core(Place place, Consumer<Throwable> onFailure) {
-        SessionCore core = new SessionCore(place.service, place.service.control(place.number, place.of, ""), place.seed,
+        SessionCore core = new SessionCore(place.service, place.service.control(place.number, place.of, place.zone), place.seed,
             place.time, place.time.loop(), place.client, new ListFollower() {
                 @Override
                 public void follow(boolean on) {
--- a/src/main/java/cypressvalve/rehearsal/Stage.java
+++ b/src/main/java/cypressvalve/rehearsal/Stage.java
@@ -92,7 +92,7 @@
             double link = day.hosts().link() * spread(day.hosts().linkSpread(), chance);
             weights[i] = RATED;
             states[i] = "active";
-            MediaHostServer host = new MediaHostServer(spec(i, link), uplinks.get(i % service.fleet().racks()), tape,
+            MediaHostServer host = new MediaHostServer(spec(i, link), uplinks.get(day.rackOf(i)), tape,
                 accessLogs == null ? null : new AccessLog(accessLogs.resolve("host-" + i + ".log")));
             host.start(true);
             hosts.add(host);
@@ -145,7 +145,8 @@
         Service.Fleet fleet = day.service().fleet();
         long started = host.startedAt();
         return new ListServer.Entry(i, "http://127.0.0.1:" + host.port(), states[i], weights[i],
-            started < openedAt ? 0 : started, i, fleet.places().keySet().iterator().next(), "");
+            started < openedAt ? 0 : started, i, fleet.places().keySet().iterator().next(),
+            day.zoneOfRack(day.rackOf(i)));
     }
 
     /** Starts all gateways and waits until each has its list. */
@@ -163,8 +164,8 @@
 
     /** Starts a gateway of that number, or starts it anew. */
     public synchronized GatewayNode startGateway(int number) {
-        GatewaySettings settings = new GatewaySettings(number, day.gateways().count(), "", "127.0.0.1", 0,
-            day.seed() * 7919 + number + 100_003L * lives++, URI.create(list.uri()), keys, accessLogs == null
+        GatewaySettings settings = new GatewaySettings(number, day.gateways().count(),
+            day.zoneOfGateway(number), "127.0.0.1", 0, day.seed() * 7919 + number + 100_003L * lives++, URI.create(list.uri()), keys, accessLogs == null
                 ? null : accessLogs.resolve("gateway-" + number + ".log"), tape.now() < openedAt + BEGINNING, 0, 43_200_000_000_000L,
             limits, HostLimits.DEFAULT, day.service());
         GatewayNode node = new GatewayNode(settings, Clock.anchored(), cause -> {
--- a/src/main/java/cypressvalve/trouble/DayScript.java
+++ b/src/main/java/cypressvalve/trouble/DayScript.java
@@ -22,10 +22,11 @@
      * @param link true mean link, and its spread as a part
      * @param uplink mean uplink of a rack, and its spread
      * @param work mean time of a core for a set-up
+     * @param zones that racks and gateways stand in, by turns; one where nothing is said of them
      * @param notice how late the list tells that one is gone, add that one has started
      */
     public record Hosts(int count, double link, double linkSpread, double uplink, double uplinkSpread, int cores,
-        int queue, long work, double vary, long lease, double noise, long notice, long add) { }
+        int queue, long work, double vary, long lease, double noise, long notice, long add, int zones) { }
 
     /** How many titles, how many copies of each, and how unevenly they are wanted (the exponent of rank). */
     public record Titles(int recorded, int live, int copies, double zipf, long length) { }
@@ -44,6 +45,21 @@
     /** How many gateways. */
     public record Gateways(int count) { }
 
+    /** The rack that a host stands in: hosts stand in racks by turns. */
+    public int rackOf(int host) {
+        return host % service.fleet().racks();
+    }
+
+    /** The zone of a rack, empty where there is one only. */
+    public String zoneOfRack(int rack) {
+        return hosts.zones() == 1 ? "" : "zone-" + rack % hosts.zones();
+    }
+
+    /** The zone of a gateway, empty where there is one only. */
+    public String zoneOfGateway(int gateway) {
+        return hosts.zones() == 1 ? "" : "zone-" + gateway % hosts.zones();
+    }
+
     /** The same day by another seed. */
     public DayScript withSeed(long other) {
         return new DayScript(name, other, length, service, hosts, titles, viewers, gateways, troubles);
@@ -77,11 +93,13 @@
         long seed = d.whole("seed", 0, Long.MAX_VALUE, 1);
         long length = d.time("length");
         List<Trouble> troubles = new ArrayList<>();
+        List<Doc.Section> scripts = new ArrayList<>();
         for (Doc.Section s : root.sections("troubles")) {
             Trouble trouble = trouble(s);
             if (trouble.at() >= length) {
                 s.wrong("at", "a time before the day's end");
             }
+            scripts.add(s);
             troubles.add(trouble);
         }
         if (service.titles().isEmpty() && titles.recorded + titles.live == 0) {
@@ -95,9 +113,17 @@
         if (needsRecorded && titles.recorded == 0) {
             t.wrong("recorded", "one title at least, as a plan is not live");
         }
+        Hosts hosts = hosts(root.section("hosts"), service);
+        Gateways gateways = new Gateways((int) root.optional("gateways").whole("count", 1, 100_000, 1));
+        for (int i = 0; i < troubles.size(); i++) {
+            int of = troubles.get(i).of(hosts.count, service.fleet().racks(), gateways.count);
+            if (troubles.get(i).only().stream().anyMatch(n -> n >= of)) {
+                scripts.get(i).wrong("only", of == 0 ? "nothing, as this kind strikes no host, rack or gateway"
+                    : "numbers from 0 to " + (of - 1));
+            }
+        }
         return new DayScript(d.text("name", "day"), seed, length,
-            service.withTitles(titles(titles, service.fleet().cells(), seed)), hosts(root.section("hosts"), service),
-            titles, viewers, new Gateways((int) root.optional("gateways").whole("count", 1, 100_000, 1)), troubles);
+            service.withTitles(titles(titles, service.fleet().cells(), seed)), hosts, titles, viewers, gateways, troubles);
     }
 
     private static Hosts hosts(Doc.Section h, Service service) {
@@ -107,7 +133,8 @@
             h.real("uplink", 0, 1e12, fleet.uplink()), h.real("uplink-spread", 0, 0.9, 0.1),
             (int) h.whole("cores", 1, 1024, 2), (int) h.whole("queue", 0, 100_000, 20), h.time("work", 20_000_000L),
             h.real("vary", 0, 0.6, 0.1), h.time("lease", 12_000_000_000L), h.real("noise", 0, 1, 0.05),
-            h.time("notice", 1_500_000_000L), h.time("add", 800_000_000L));
+            h.time("notice", 1_500_000_000L), h.time("add", 800_000_000L),
+            (int) h.whole("zones", 1, fleet.racks(), 1));
     }
 
     private static Viewers viewers(Doc.Section v, Service service) {
@@ -137,7 +164,8 @@
     private static Trouble trouble(Doc.Section s) {
         Trouble.Kind kind = s.choice("kind", Trouble.Kind.class, null);
         Trouble trouble = new Trouble(kind == null ? Trouble.Kind.CRASH : kind, s.time("at"), s.time("length"),
-            s.real("part", 0, 1, 0.2), s.real("size", 0, 1000, 1), s.real("extra", 0, 1000, 1));
+            s.real("part", 0, 1, 0.2), s.real("size", 0, 1000, 1), s.real("extra", 0, 1000, 1),
+            numbers(s));
         boolean wrong = switch (trouble.kind()) {
             case FAST_ERRORS, NEIGHBOUR, HOT_KEY -> trouble.size() > 1;
             case SLOW, ORIGIN_SLOW, BURST -> trouble.size() < 1;
@@ -152,6 +180,20 @@
         return trouble;
     }
 
+    private static List<Integer> numbers(Doc.Section s) {
+        List<Integer> only = new ArrayList<>();
+        if (s.has("only")) {
+            for (double number : s.reals("only", 0, 1_000_000)) {
+                if (number != Math.rint(number) || only.contains((int) number)) {
+                    s.wrong("only", "whole numbers, each once");
+                    return List.of();
+                }
+                only.add((int) number);
+            }
+        }
+        return List.copyOf(only);
+    }
+
     private static Map<String, Service.TitleRow> titles(Titles t, int cells, long seed) {
         Random chance = new Random(seed * 31 + 7);
         Map<String, Service.TitleRow> rows = new LinkedHashMap<>();
--- a/src/main/java/cypressvalve/trouble/TroublePlayer.java
+++ b/src/main/java/cypressvalve/trouble/TroublePlayer.java
@@ -66,12 +66,10 @@
     }
 
     private List<Integer> struck(Trouble t) {
-        int of = switch (t.kind()) {
-            case ORIGIN_SLOW -> on.racks();
-            case BALANCER_CRASH -> day.gateways().count();
-            case BURST, HOT_KEY, DISCOVERY_STALE, LIST_EMPTY -> 0;
-            default -> on.hosts();
-        };
+        if (!t.only().isEmpty()) {
+            return t.only();
+        }
+        int of = t.of(on.hosts(), on.racks(), day.gateways().count());
         double part = t.kind() == Trouble.Kind.REPORT_LATE ? 1 : t.part();
         List<Integer> all = new ArrayList<>(IntStream.range(0, of).boxed().toList());
         Collections.shuffle(all, chance);
