--- a/src/main/java/cypressvalve/cli/Scripts.java
+++ b/src/main/java/cypressvalve/cli/Scripts.java
@@ -2,6 +2,9 @@
 
 import cypressvalve.config.Doc;
 import cypressvalve.load.replay.Names;
+import cypressvalve.load.sessions.Played;
+import cypressvalve.load.trace.TraceReader;
+import cypressvalve.planner.Demand;
 import cypressvalve.trouble.DayScript;
 import java.io.IOException;
 import java.io.InputStream;
@@ -47,6 +50,21 @@
         return names;
     }
 
+    /** What a trace wants at its worst moment; refused if it can't bear an answer. */
+    static Demand demand(Path trace, Names names) throws IOException {
+        Demand.Gatherer gatherer = new Demand.Gatherer();
+        try (TraceReader in = TraceReader.open(trace)) {
+            for (Played p = in.next(); p != null; p = in.next()) {
+                gatherer.add(p.at(), p.length(), names.title(p), names.plan(p));
+            }
+        }
+        try {
+            return gatherer.worst();
+        } catch (Demand.Unsupported e) {
+            throw new Commands.Refusal(trace + ": " + e.getMessage());
+        }
+    }
+
     /** Nothing but errors is logged by commands that print figures, unless asked for. */
     static void quietLogs() {
         if (System.getProperty("cypressvalve.log.level") == null) {
--- a/src/main/java/cypressvalve/lab/RunResult.java
+++ b/src/main/java/cypressvalve/lab/RunResult.java
@@ -18,6 +18,7 @@
         figures.put("served", summary.servedShare());
         figures.put("delivered", summary.deliveredShare());
         figures.put("rung", summary.meanRung());
+        figures.put("service", summary.startupMet() * summary.deliveredShare());
         figures.put("breaks", summary.breaks() / (double) Math.max(1, summary.viewers()));
         figures.put("viewers", (double) summary.viewers());
         findings.forEach((rule, found) -> figures.put("rule" + rule, (double) found.size()));
--- a/src/main/java/cypressvalve/planner/Fluid.java
+++ b/src/main/java/cypressvalve/planner/Fluid.java
@@ -4,8 +4,11 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.IntStream;
 
 /**
  * What a fleet gives and what is wanted of it, by means and blocking formulas: an answer in milliseconds, which the
@@ -16,7 +19,7 @@
     private static final double FULL = 0.98;
 
     /** What can run out. */
-    public enum Resource { LINKS, UPLINKS, PLACES, HOLDERS, SEATS, SETUP_CORES }
+    public enum Resource { LINKS, UPLINKS, PLACES, HOLDERS, HOLDER_PLACES, SEATS, SETUP_CORES }
 
     /**
      * One resource's use.
@@ -47,13 +50,24 @@
 
     /** The estimate for a fleet and what is wanted of it. */
     public static Estimate of(Fleet fleet, Demand demand) {
+        return without(fleet, demand, List.of());
+    }
+
+    /**
+     * The same while some hosts are lost; titles keep the holders that are left.
+     *
+     * @param lost numbers of hosts
+     */
+    public static Estimate without(Fleet fleet, Demand demand, List<Integer> lost) {
+        Set<Integer> gone = new HashSet<>(lost);
+        int hosts = fleet.hosts() - gone.size();
         Service service = fleet.service();
         double low = 0;
         double high = 0;
         double count = 0;
         Map<String, double[]> byTitle = new HashMap<>();
         double seats = 0;
-        String fullest = "";
+        String fullestSeats = "";
         double refusedBySeats = 0;
         for (Demand.Wanted w : demand.playing()) {
             Service.PlanRow plan = service.plans().get(w.plan());
@@ -62,39 +76,46 @@
             low += lowKb;
             high += highKb;
             count += w.count();
-            double[] title = byTitle.computeIfAbsent(w.title(), k -> new double[2]);
+            double[] title = byTitle.computeIfAbsent(w.title(), k -> new double[3]);
             title[0] += lowKb;
             title[1] += highKb;
+            title[2] += w.count();
             if (plan.seats() > 0) {
                 // Seats are counted by each gateway; viewers come to gateways by chance.
                 double offered = w.count() / fleet.gateways();
                 refusedBySeats += w.count() * erlangB(offered, plan.seats());
                 if (offered / plan.seats() > seats) {
                     seats = offered / plan.seats();
-                    fullest = w.title() + " in " + w.plan();
+                    fullestSeats = w.title() + " in " + w.plan();
                 }
             }
         }
         List<Use> uses = new ArrayList<>();
-        double links = fleet.hosts() * fleet.link();
+        double links = Math.max(hosts, 1e-9) * fleet.link();
         add(uses, Resource.LINKS, low / links, high / links, "");
         if (Double.isFinite(fleet.uplink())) {
-            // Hosts stand in racks in turn, so the first rack has one more where they don't divide.
-            double part = Math.ceil(fleet.hosts() / (double) fleet.racks()) / fleet.hosts();
-            add(uses, Resource.UPLINKS, low * part / fleet.uplink(), high * part / fleet.uplink(), "");
+            // Hosts stand in racks in turn; what is wanted spreads evenly over those that live.
+            int[] byRack = new int[fleet.racks()];
+            for (int h = 0; h < fleet.hosts(); h++) {
+                byRack[h % fleet.racks()] += gone.contains(h) ? 0 : 1;
+            }
+            int fullest = IntStream.range(0, byRack.length).reduce(0, (a, b) -> byRack[b] > byRack[a] ? b : a);
+            double part = byRack[fullest] / Math.max(hosts, 1e-9);
+            add(uses, Resource.UPLINKS, low * part / fleet.uplink(), high * part / fleet.uplink(),
+                gone.isEmpty() ? "" : "rack " + fullest);
         }
-        double places = count / (fleet.hosts() * fleet.places());
+        double places = count / (Math.max(hosts, 1e-9) * fleet.places());
         add(uses, Resource.PLACES, places, places, "");
-        holders(fleet, byTitle, uses);
+        holders(fleet, byTitle, gone, uses);
         if (seats > 0) {
-            add(uses, Resource.SEATS, seats, seats, fullest);
+            add(uses, Resource.SEATS, seats, seats, fullestSeats);
         }
-        double cores = demand.arrivals() * fleet.work() / (fleet.hosts() * fleet.cores());
+        double cores = demand.arrivals() * fleet.work() / (Math.max(hosts, 1e-9) * fleet.cores());
         add(uses, Resource.SETUP_CORES, cores, cores, "");
         uses.sort(Comparator.comparingDouble(Use::until));
         double mean = count == 0 ? 1 : low / count;
         double byLinks = erlangB(low / mean, FULL * links / mean);
-        double byPlaces = erlangB(count, fleet.hosts() * fleet.places());
+        double byPlaces = erlangB(count, hosts * fleet.places());
         double blocked = 1 - (1 - byLinks) * (1 - byPlaces) * (1 - (count == 0 ? 0 : refusedBySeats / count));
         double capacity = Double.isFinite(fleet.uplink()) ? Math.min(links, fleet.racks() * fleet.uplink()) : links;
         return new Estimate(uses, blocked, high <= low ? 1
@@ -106,33 +127,41 @@
     }
 
     /** What so many viewers of a title ask; those who share a live stream ask for its share only. */
-    private static double kb(Service service, Service.PlanRow plan, int rung, double viewers) {
+    static double kb(Service service, Service.PlanRow plan, int rung, double viewers) {
         double rate = service.ladder()[rung] * plan.factor();
         return plan.live() && viewers > 1 ? rate * (1 + service.joinShare() * (viewers - 1)) : rate * viewers;
     }
 
     /**
-     * A title alone on its holders: one that all want can fill them while the fleet has room. What others ask there
-     * can move elsewhere, so it is not counted.
+     * A title alone on its holders: one that all want can fill their links while the fleet has room. What others ask
+     * there can move elsewhere, so it is not counted; nor for their places, which viewers who share streams fill first.
      */
-    private static void holders(Fleet fleet, Map<String, double[]> byTitle, List<Use> uses) {
+    private static void holders(Fleet fleet, Map<String, double[]> byTitle, Set<Integer> gone, List<Use> uses) {
         Use worst = null;
+        Use fullest = null;
         for (Map.Entry<String, double[]> title : byTitle.entrySet()) {
             Service.TitleRow row = fleet.service().titles().get(title.getKey());
             int holders = 0;
             for (int i = 0; row != null && i < row.copies(); i++) {
-                holders += (row.first() + i) % fleet.service().fleet().cells() < fleet.hosts() ? 1 : 0;
+                int cell = (row.first() + i) % fleet.service().fleet().cells();
+                holders += cell < fleet.hosts() && !gone.contains(cell) ? 1 : 0;
             }
-            double there = Math.max(1, holders) * fleet.link();
+            double there = Math.max(1e-3, holders) * fleet.link();
             double low = title.getValue()[0] / there;
             double high = title.getValue()[1] / there;
             if (worst == null || low > worst.low()) {
                 worst = new Use(Resource.HOLDERS, low, high, low <= 0 ? Double.POSITIVE_INFINITY : FULL / low,
                     title.getKey());
             }
+            double full = title.getValue()[2] / Math.max(1e-3, holders) / fleet.places();
+            if (fullest == null || full > fullest.low()) {
+                fullest = new Use(Resource.HOLDER_PLACES, full, full, full <= 0 ? Double.POSITIVE_INFINITY : FULL / full,
+                    title.getKey());
+            }
         }
         if (worst != null) {
             uses.add(worst);
+            uses.add(fullest);
         }
     }
 
