--- a/src/main/java/cypressvalve/Control.java
+++ b/src/main/java/cypressvalve/Control.java
@@ -629,8 +629,8 @@
             }
         }
         // Departure: nobody is turned away on a guess, nor while the lowest rung still fits a told link.
-        return well.stream().sorted(Comparator.comparing(this::full).thenComparingDouble(this::load))
-            .filter(h -> shortLoad(h) == 0
+        return well.stream().sorted(Comparator.comparingLong((MediaHost h) -> full(h) ? h.fullAt : 0)
+            .thenComparingDouble(this::load)).filter(h -> shortLoad(h) == 0
             && (!known(h.load) || load(h) + added(pb, h, pb.plan.floor) / h.link <= FULL_SHARE)
             && (!known(h.rack.load)
             || rackLoad(h.rack) + added(pb, h, pb.plan.floor) / settings.uplink <= FULL_SHARE))
