The end of a given-up try leaves before the next; floods are seen between quick rounds

The word that ends a try which was given up may need a new connection, which on a late loop takes one of its rounds, while the next try leaves at once on a kept one. A request may wait unread for as long as the loop is late, and its viewer's patience was counted from its reading.

Change: the client tells a try's end once the word that ends it has left; what a request may have waited unread is taken off its patience; two late looks within two seconds are a flood, and the pace is raised only after half a second without one.

Measured: tests of the caller, the gate and the whole path pass.

--- a/src/main/java/cypressvalve/admission/Gate.java
+++ b/src/main/java/cypressvalve/admission/Gate.java
@@ -10,8 +10,13 @@
  */
 public final class Gate {
     private static final long SECOND = 1_000_000_000L;
-    /** A pause of the collector or the machine is not a flood: two looks in a row must be late. */
-    private static final int LATE_LOOKS = 2;
+    /**
+     * A pause of the collector or the machine is not a flood: two looks must be late in this time. Not in a row, as a
+     * loop that takes seconds for what came at once has quick rounds in between.
+     */
+    private static final long LATE_SPAN = 2 * SECOND;
+    /** The pace is not raised sooner after a late look: a quick round alone says little. */
+    private static final long CALM = SECOND / 2;
     /** After the pace was cut its effect is waited for: requests that were let in before take about so long. */
     private static final long EFFECT = SECOND / 2;
     /** Cut to this part of what was let in, at most: a loop that is late has to catch up as well. */
@@ -69,8 +74,9 @@
     private double common;
     private long filledAt;
     private long lookedAt;
+    private long lastLate;
     private long cutAt = Long.MIN_VALUE / 2;
-    private int lateLooks;
+    private long lateAt = Long.MIN_VALUE / 2;
     private double passed;
     private double came;
     private long promised;
@@ -130,15 +136,17 @@
     public void looked(long now, long late) {
         double over = Math.max(1, now - lookedAt) / (double) SECOND;
         lookedAt = now;
+        lastLate = late;
         // The last second or so of what came and what was let in.
         double keep = Math.exp(-over);
-        lateLooks = late > limits.late ? lateLooks + 1 : 0;
-        if (lateLooks >= LATE_LOOKS && now - cutAt > EFFECT) {
+        boolean again = late > limits.late && now - late - lateAt <= LATE_SPAN;
+        lateAt = late > limits.late ? now : lateAt;
+        if (again && now - cutAt > EFFECT) {
             pace = Math.max(LEAST_PACE, Math.min(pace, passed) * Math.max(DEEPEST, Math.min(CUT, 1 - late / CATCH_UP)));
             common = Math.min(common, pace * BURST);
             tenants.forEach(t -> t.tokens = 0);
             cutAt = now;
-        } else if (lateLooks == 0 && paced()) {
+        } else if (now - lateAt > CALM && paced()) {
             pace *= RAISE;
             pace = pace > FREE_AT * Math.max(LEAST_PACE, came) ? Double.POSITIVE_INFINITY : pace;
         }
@@ -146,6 +154,15 @@
         came *= keep;
     }
 
+    /**
+     * How long a request read now may have waited unread: as long as the loop was late, or has not been looked at since.
+     * The viewer's patience has run all that time. While the loop keeps up it is nothing.
+     */
+    public long unread(long now) {
+        long waited = limits.late >= Long.MAX_VALUE / 2 ? 0 : Math.max(lastLate, now - lookedAt);
+        return waited > limits.late ? waited : 0;
+    }
+
     /** Whether requests are paced at all. */
     public boolean paced() {
         return Double.isFinite(pace);
--- a/src/main/java/cypressvalve/host/HttpHostClient.java
+++ b/src/main/java/cypressvalve/host/HttpHostClient.java
@@ -66,16 +66,17 @@
                 }
                 if (withdrawn[0] && outcome != HttpCaller.Outcome.NEVER_SENT
                     && outcome != HttpCaller.Outcome.NO_CONNECTION) {
-                    release(host, order.name());
-                    result.cameBack(Verdict.WITHDRAWN, report(exchange));
+                    release(host, order.name(), () -> result.cameBack(Verdict.WITHDRAWN, report(exchange)));
                 } else if (outcome == HttpCaller.Outcome.ANSWERED && exchange.getResponse().getResponseCode() == 201) {
                     result.started(report(exchange));
                 } else {
                     Verdict verdict = verdict(outcome, exchange);
                     if (verdict == Verdict.TIMEOUT || verdict == Verdict.BROKEN) {
-                        release(host, order.name()); // It may still run: what is given up must not play on.
+                        // It may still run: what is given up must not play on, and its end leaves before the next try.
+                        release(host, order.name(), () -> result.cameBack(verdict, LoadReport.NONE));
+                    } else {
+                        result.cameBack(verdict, report(exchange));
                     }
-                    result.cameBack(verdict, report(exchange));
                 }
             });
         return () -> {
@@ -108,21 +109,26 @@
 
     @Override
     public void setRung(HostAddress host, String session, int rung) {
-        repeat(host, Methods.PUT, "/sessions/" + session + "/rung?value=" + rung, limits.repeats());
+        repeat(host, Methods.PUT, "/sessions/" + session + "/rung?value=" + rung, limits.repeats(), () -> { });
     }
 
     @Override
     public void release(HostAddress host, String session) {
-        repeat(host, Methods.DELETE, "/sessions/" + session, limits.repeats());
+        release(host, session, () -> { });
+    }
+
+    /** @param left run once the word has left, or can't leave now */
+    private void release(HostAddress host, String session, Runnable left) {
+        repeat(host, Methods.DELETE, "/sessions/" + session, limits.repeats(), left);
     }
 
     /** Any answer is an answer; where none comes it is asked again a few times, and then left to the host's lease. */
-    private void repeat(HostAddress host, HttpString method, String path, int left) {
-        caller.send(host.base(), method, path, headers, limits.callTimeout(), (outcome, exchange) -> {
+    private void repeat(HostAddress host, HttpString method, String path, int times, Runnable left) {
+        caller.send(host.base(), method, path, headers, limits.callTimeout(), left, (outcome, exchange) -> {
             if (exchange != null) {
                 caller.recycle(host.base(), exchange);
-            } else if (left > 0 && !closed) {
-                thread.executeAfter(() -> repeat(host, method, path, left - 1),
+            } else if (times > 0 && !closed) {
+                thread.executeAfter(() -> repeat(host, method, path, times - 1, () -> { }),
                     Math.max(1, limits.callTimeout() / 1_000_000), TimeUnit.MILLISECONDS);
             }
         });
--- a/src/main/java/cypressvalve/net/HttpCaller.java
+++ b/src/main/java/cypressvalve/net/HttpCaller.java
@@ -67,14 +67,25 @@
         private final String base;
         private ClientConnection connection;
         private XnioExecutor.Key timer;
+        private final Runnable left;
         private boolean sent;
         private boolean done;
+        private boolean leftTold;
 
-        private Call(String base, Result result) {
+        private Call(String base, Runnable left, Result result) {
+            this.left = left;
             this.base = base;
             this.result = result;
         }
 
+        /** Runs what waits for the request to leave, after what is being written now. */
+        private void left() {
+            if (!leftTold && !closed) {
+                leftTold = true;
+                thread.execute(left);
+            }
+        }
+
         /** Stops waiting: the result is TAKEN_BACK, or NEVER_SENT if no byte can have left. */
         public void takeBack() {
             finish(sent ? Outcome.TAKEN_BACK : Outcome.NEVER_SENT, null);
@@ -88,6 +99,7 @@
             if (timer != null) {
                 timer.remove();
             }
+            left();
             if (exchange == null) {
                 IoUtils.safeClose(connection);
             }
@@ -105,7 +117,18 @@
      */
     public Call send(String base, HttpString method, String path, Map<HttpString, String> headers, long maxWait,
         Result result) {
-        Call call = new Call(base, result);
+        return send(base, method, path, headers, maxWait, () -> { }, result);
+    }
+
+    /**
+     * Sends a request without a body.
+     *
+     * @param left told once, when the request was handed to its connection or the call ended without that: what is sent
+     *     after it can't overtake a connection that is still to come about
+     */
+    public Call send(String base, HttpString method, String path, Map<HttpString, String> headers, long maxWait,
+        Runnable left, Result result) {
+        Call call = new Call(base, left, result);
         if (closed) {
             call.finish(Outcome.NEVER_SENT, null);
             return call;
@@ -169,6 +192,7 @@
 
     private void write(Call call, ClientRequest request) {
         call.sent = true;
+        call.left();
         call.connection.sendRequest(request, new ClientCallback<>() {
             @Override
             public void completed(ClientExchange exchange) {
--- a/src/main/java/cypressvalve/session/SessionCore.java
+++ b/src/main/java/cypressvalve/session/SessionCore.java
@@ -165,8 +165,9 @@
                 answer.playing(joined);
             } else {
                 joined.waiting.add(answer);
+                long patience = Math.max(0, ask.patience() - gate.unread(clock.now()));
                 // Rule 1 holds for each request: the least patient of those that wait sets the time.
-                input(() -> joined.playback.abandonAt = Math.min(joined.playback.abandonAt, now() + ask.patience()));
+                input(() -> joined.playback.abandonAt = Math.min(joined.playback.abandonAt, now() + patience));
             }
             return joined;
         }
@@ -183,6 +184,7 @@
             return null;
         }
         Playback pb = playback(ids.next(), ask);
+        long patience = Math.max(0, ask.patience() - gate.unread(clock.now()));
         Session session = new Session(ask, service.titles().get(ask.title()), pb);
         session.waiting.add(answer);
         session.lastSeen = clock.now();
@@ -192,7 +194,7 @@
         }
         input(() -> {
             pb.arrivedAt = now();
-            pb.abandonAt = pb.arrivedAt + ask.patience();
+            pb.abandonAt = pb.arrivedAt + patience;
             pb.waitUntil = pb.arrivedAt;
             control.requested(pb);
         });
--- a/src/test/java/cypressvalve/admission/GateTest.java
+++ b/src/test/java/cypressvalve/admission/GateTest.java
@@ -61,6 +61,23 @@
         assertFalse(gate.paced());
     }
 
+    @Test
+    void aLoopWithQuickRoundsBetweenLateOnesIsCutAndNotRaisedBetween() {
+        second(1000, 1000, 0);
+        second(1000, 1000, 0);
+        for (int round = 0; round < 4; round++) {
+            now += 700 * MS;
+            gate.looked(now, 675 * MS);
+            double cut = gate.pace();
+            for (int quick = 0; quick < 3; quick++) {
+                now += 25 * MS;
+                gate.looked(now, 0);
+            }
+            assertEquals(cut, gate.pace(), 1e-9, "in round " + round);
+        }
+        assertTrue(gate.pace() < 400, "cut though no two late looks came in a row: " + gate.pace());
+    }
+
     @Test
     void aLateLoopCutsThePaceUntilItKeepsUpAndFreesItLater() {
         second(2000, 2000, 0);
@@ -70,6 +87,7 @@
         assertTrue(next[0] + next[1] < (passed[0] + passed[1]) * 0.8, next[0] + next[1] + " after " + passed[0]);
         double low = gate.pace();
         second(2000, 2000, 0);
+        second(2000, 2000, 0);
         assertTrue(gate.pace() > low * 1.5);
         for (int s = 0; s < 30 && gate.paced(); s++) {
             second(50, 50, 0);
@@ -101,6 +119,21 @@
         assertTrue(deep >= 20);
     }
 
+    @Test
+    void whatWaitedUnreadIsTakenOffTheViewersPatience() {
+        second(10, 10, 0);
+        assertEquals(0, gate.unread(now), "the loop keeps up");
+        now += 25 * MS;
+        gate.looked(now, 800 * MS);
+        assertEquals(800 * MS, gate.unread(now + 10 * MS));
+        assertEquals(1500 * MS, gate.unread(now + 1500 * MS), "one long pass, no look since");
+        now += 25 * MS;
+        gate.looked(now, 90 * MS);
+        assertEquals(0, gate.unread(now), "under the bound nothing is taken off");
+        Gate simulated = new Gate(new Gate.Limits(100, Long.MAX_VALUE / 2), new double[0], 0);
+        assertEquals(0, simulated.unread(100 * SECOND), "where nothing is ever late no look is taken");
+    }
+
     @Test
     void howeverLateALittleGoesOn() {
         for (int s = 0; s < 20; s++) {
