Viewers' tokens; Control counts its departures; the planner's capacity answers as JSON and page

Cause: whoever asked was served: entitlement comes first of the next direction, and seats by token need it. How often each departure acts as gateways grow could not be told, on call or in experiments. `plan capacity` had no answer for programs or for who decides purchases, and gateways' processor time was no resource of the estimate.

Change: entitlement, decisions free of I/O: JSON web tokens by key sets that rotate while running, tenant, plans, titles, times within a stated skew, playbacks at once counted by the core from what it holds (set-ups included, retries once), renewal and withdrawal by PUT, one end after a stated grace, refusals by 401 and 403 with a count each; kept by media hosts for a gateway that takes up what plays.

--- a/src/main/java/cypressvalve/Control.java
+++ b/src/main/java/cypressvalve/Control.java
@@ -161,6 +161,7 @@
         if (shortOnes > 1 && shortOnes * 3 >= used.size() * 2 && linkLoad(host) < 1) {
             double given = rackAsked(host.rack) / settings.uplink * share;
             host.rack.found.add(now, Math.max(0.1, Math.min(1, given)));
+            departs(true, Departure.FOUND_UPLINK);
         }
     }
 
@@ -442,6 +443,12 @@
      */
     private static final long FULL_LIFE = REPORT_LIFE;
 
+    private void departs(boolean when, Departure what) {
+        if (when) {
+            gateway.departed(what);
+        }
+    }
+
     private boolean full(MediaHost host) {
         return now - host.fullAt < FULL_LIFE;
     }
@@ -491,7 +498,7 @@
             ? asked / racks.size() / settings.uplink : rackLoad(r)).average().orElse(0) - UPLINK_MORE;
         double drawn = FEW / (playing.size() + FEW);
         double middle = latest.stream().mapToDouble(pb -> (pb.plan.live ? settings.joinShare : 1)
-            * pb.plan.rates[Math.min(highest(pb), pb.plan.rates.length / 2)]).average().orElse(0);
+            * pb.plan.rates[Math.min(pb.highest(), pb.plan.rates.length / 2)]).average().orElse(0);
         double allowed = latest.size() * Math.pow(own / Math.max(playing.size(), 1), 1 - drawn)
             * Math.pow(middle, drawn) * (settings.notePeriod > 0 ? T_HIGH : T_LOW)
             / Math.max(Math.max(asked / links, uplinks), 1e-3);
@@ -500,7 +507,7 @@
             double least = Double.MAX_VALUE;
             double share = pb.plan.live ? settings.joinShare : 1;
             allowed -= pb.plan.rates[pb.plan.floor] * share;
-            for (int r = pb.plan.floor + 1; r <= highest(pb); r++) {
+            for (int r = pb.plan.floor + 1; r <= pb.highest(); r++) {
                 least = Math.min(least, stepValue(pb, r));
                 steps.add(new double[] {least, (pb.plan.rates[r] - pb.plan.rates[r - 1]) * share});
             }
@@ -523,7 +530,7 @@
         for (Playback pb : playing) {
             DoubleSummaryStatistics[] plan = sums.get(pb.plan);
             plan[0].accept(settings.rungRevenue[pb.rung]);
-            plan[1].accept(settings.rungRevenue[highest(pb)]);
+            plan[1].accept(settings.rungRevenue[pb.highest()]);
         }
         return settings.plans.stream().min(Comparator.comparingDouble(p -> {
             double most = sums.get(p)[1].getSum();
@@ -531,12 +538,8 @@
         })).orElse(null);
     }
 
-    private static int highest(Playback pb) {
-        return pb.highest();
-    }
-
     private int fairRung(Playback pb) {
-        return IntStream.rangeClosed(pb.plan.floor + 1, highest(pb))
+        return IntStream.rangeClosed(pb.plan.floor + 1, pb.highest())
             .takeWhile(r -> stepValue(pb, r) >= price()).max().orElse(pb.plan.floor);
     }
 
@@ -569,6 +572,8 @@
                 .sorted(Comparator.comparingDouble(this::failureShare)).limit(1).toList();
         }
         int top = fairRung(pb);
+        departs(top < pb.highest(), Departure.FAIR_RUNG);
+        departs(well.stream().anyMatch(this::full), Departure.FULL_OF_STREAMS);
         MediaHost host = well.isEmpty() || pb.tries.size() >= settings.mostTries || !withinBudget(pb)
             || !seatFree(pb) ? null : choose(pb, well, top);
         if (host == null && pb.tries.isEmpty() && now < pb.arrivedAt + pb.plan.startupTarget / 2
@@ -600,9 +605,10 @@
         long near = well.stream().filter(h -> h.zone.equals(first.zone)).count();
         double held = pb.title.playing.values().stream().mapToInt(n -> n).sum() * (double) settings.gateways;
         double hosts = known(first.load) ? 0 : !pb.plan.live ? near / 2
-            : held * settings.joinShare * pb.plan.rates[highest(pb) / 2] / (T_HIGH * first.link);
+            : held * settings.joinShare * pb.plan.rates[pb.highest() / 2] / (T_HIGH * first.link);
         double byPlaces = settings.fullFrom > 0 ? 0 : held / (T_HIGH * first.places);
         int several = (int) Math.max(1, Math.min(near, Math.max(hosts, byPlaces)));
+        departs(several > 1, Departure.ONE_HOME_OF_SEVERAL);
         return well.get(Math.floorMod(hash(pb.title.key, settings.me), several));
     }
 
@@ -628,6 +634,7 @@
                 return home;
             }
         }
+        departs(true, Departure.LAST_ROOM);
         // Departure: nobody is turned away on a guess, nor while the lowest rung still fits a told link.
         return well.stream().sorted(Comparator.comparingLong((MediaHost h) -> full(h) ? h.fullAt : 0)
             .thenComparingDouble(this::load)).filter(h -> shortLoad(h) == 0
@@ -639,13 +646,14 @@
 
     /** The highest rung at which the playback has room to share a stream there, else below 0. */
     private int joinRung(Playback pb, MediaHost host) {
-        return IntStream.rangeClosed(pb.plan.floor, highest(pb)).filter(r -> host.joins(pb, r)
+        return IntStream.rangeClosed(pb.plan.floor, pb.highest()).filter(r -> host.joins(pb, r)
             && room(host, added(pb, host, r), T_HIGH)).max().orElse(-1);
     }
 
     /** Departure: on a host that none tells of, rungs go half way between the marks: its use is a guess. */
     private int rungAt(Playback pb, MediaHost host, int top) {
         double mark = known(host.load) ? T_HIGH : (T_LOW + T_HIGH) / 2;
+        departs(!known(host.load), Departure.UNTOLD_RUNG);
         int joinAt = joinRung(pb, host);
         return joinAt >= 0 ? joinAt : IntStream.rangeClosed(pb.plan.floor, top)
             .filter(r -> room(host, added(pb, host, r), mark)).max().orElse(pb.plan.floor);
@@ -772,6 +780,7 @@
     }
 
     private void step(List<Playback> group, int by) {
+        departs(true, by < 0 ? Departure.EASING_OFF : Departure.STEPPING_UP);
         for (Playback pb : group) {
             pb.rung += by;
             pb.rungSince = now;
@@ -795,7 +804,7 @@
 
     /** Rule 5's guard: whatever a rule wished, no rung leaves that is under the floor or over the highest. */
     private void tellRung(Playback pb) {
-        pb.rung = pb.rungTold = Math.max(pb.plan.floor, Math.min(pb.rung, highest(pb)));
+        pb.rung = pb.rungTold = Math.max(pb.plan.floor, Math.min(pb.rung, pb.highest()));
         gateway.setRung(pb, pb.rung);
     }
 
@@ -806,7 +815,7 @@
 
     /** Whether it has been under its highest rung for long, and has time left. */
     private boolean mayWantUp(Playback pb) {
-        return pb.rung < highest(pb) && now - pb.rungSince >= STEP_UP_AFTER
+        return pb.rung < pb.highest() && now - pb.rungSince >= STEP_UP_AFTER
             && (pb.hint <= 0 || pb.hint - (now - pb.playingSince) > STEP_UP_AFTER);
     }
 
@@ -830,7 +839,7 @@
             double least = Double.MAX_VALUE;
             for (int i = 0; i < host.carried.size(); i++) {
                 Playback pb = host.carried.get(i).playback;
-                boolean under = pb.playing && pb.rung < highest(pb);
+                boolean under = pb.playing && pb.rung < pb.highest();
                 if (under && now - pb.rungSince < STEP_UP_AFTER) {
                     next = Math.min(next, pb.rungSince + STEP_UP_AFTER);
                 }
@@ -838,7 +847,7 @@
                     || pb.rung >= fairRung(pb)) {
                     continue;
                 }
-                List<Playback> group = group(pb).stream().filter(o -> highest(o) >= fairRung(pb)).toList();
+                List<Playback> group = group(pb).stream().filter(o -> o.highest() >= fairRung(pb)).toList();
                 double kb = wishKb(group) + stepKb(pb, group.size(), pb.rung + 1);
                 least = Math.min(least, kb);
                 if ((first == null || pb.turn < first.turn) && fits(host, kb)) {
--- a/src/main/java/cypressvalve/Gateway.java
+++ b/src/main/java/cypressvalve/Gateway.java
@@ -1,5 +1,6 @@
 package cypressvalve;
 
+import cypressvalve.model.Departure;
 import cypressvalve.model.MediaHost;
 import cypressvalve.model.Playback;
 import cypressvalve.model.SetupTry;
@@ -39,6 +40,9 @@
     /** Asks once for the whole list of media hosts. */
     void fetchList();
 
+    /** Counts a departure from the ordinary path; nothing hangs on it. */
+    default void departed(Departure what) { }
+
     /** Writes a line to the log. */
     void log(String line);
 }
--- a/src/main/java/cypressvalve/cli/PlanCommand.java
+++ b/src/main/java/cypressvalve/cli/PlanCommand.java
@@ -595,6 +595,12 @@
             description = "runs for each number of hosts (default ${DEFAULT-VALUE})")
         private int seeds;
 
+        @Option(names = "--json", description = "the answer as JSON")
+        private boolean json;
+
+        @Option(names = "--report", paramLabel = "FILE", description = "write a report (HTML)")
+        private Path report;
+
         @Spec
         private CommandSpec spec;
 
@@ -618,27 +624,52 @@
                 : DayText.troubles(text, List.of(new Loss(lose).trouble(script.length())));
             Goal goal = new Goal(startup, delivered);
             PrintWriter err = spec.commandLine().getErr();
+            Map<Integer, LeastHosts.Service> services = new java.util.TreeMap<>();
             LeastHosts.Answer answer = LeastHosts.search(least, most, n -> {
                 LeastHosts.Service service = service(script.name(), base, n, goal);
+                services.put(n, service);
                 err.printf(Locale.ROOT, "%d hosts: %.4f of the goal, by ± %.4f%n", n, service.mean(), service.half());
                 err.flush();
                 return service;
             }, 1);
             PrintWriter out = spec.commandLine().getOut();
-            out.printf(Locale.ROOT, "simulated, %d seeds for each number of hosts; goal: startup met %.3f, delivered share "
-                + "%.3f%s%n", seeds, startup, delivered, lose == null ? "" : ", also while " + lose
+            String asked = String.format(Locale.ROOT, "simulated, %d seeds for each number of hosts; goal: startup met %.3f, "
+                + "delivered share %.3f%s", seeds, startup, delivered, lose == null ? "" : ", also while " + lose
                 + " of the hosts are lost and come back cold");
-            answer.tried().forEach((n, verdict) -> out.println("  " + n + " hosts: "
-                + verdict.name().toLowerCase(Locale.ROOT)));
-            if (answer.sure() == 0) {
-                out.println("no number up to " + most + " meets the goal for sure; " + (answer.tried().get(most)
-                    == LeastHosts.Verdict.OPEN ? most + " may: more seeds would tell" : "hosts may not be what is short: see "
-                    + "plan bottleneck"));
+            String found = answer.sure() == 0 ? "no number up to " + most + " meets the goal for sure; "
+                + (answer.tried().get(most) == LeastHosts.Verdict.OPEN ? most + " may: more seeds would tell"
+                    : "hosts may not be what is short: see plan bottleneck")
+                : "least number of hosts: " + (answer.least() == answer.sure() ? "" + answer.sure()
+                    : answer.least() + " to " + answer.sure() + "; " + answer.sure() + " is sure");
+            if (json) {
+                Map<String, Object> facts = new LinkedHashMap<>();
+                facts.put("startup", startup);
+                facts.put("delivered", delivered);
+                facts.put("lost", lose == null ? 0 : lose);
+                facts.put("least", answer.sure() == 0 ? 0 : answer.least());
+                facts.put("sure", answer.sure());
+                facts.put("tried", answer.tried().keySet().stream().map(n -> Map.of("hosts", n, "verdict",
+                    answer.tried().get(n).name().toLowerCase(Locale.ROOT), "reached", services.get(n).mean(), "half",
+                    services.get(n).half())).toList());
+                out.println(new ObjectMapper().writerWithDefaultPrettyPrinter().writeValueAsString(facts));
             } else {
-                out.println("least number of hosts: " + (answer.least() == answer.sure() ? "" + answer.sure()
-                    : answer.least() + " to " + answer.sure() + "; " + answer.sure() + " is sure"));
+                out.println(asked);
+                answer.tried().forEach((n, verdict) -> out.println("  " + n + " hosts: "
+                    + verdict.name().toLowerCase(Locale.ROOT)));
+                out.println(found);
             }
             out.flush();
+            if (report != null) {
+                List<String[]> rows = new ArrayList<>();
+                rows.add(new String[] {"hosts", "verdict", "part of the goal reached"});
+                answer.tried().forEach((n, verdict) -> rows.add(new String[] {"" + n,
+                    verdict.name().toLowerCase(Locale.ROOT), String.format(Locale.ROOT, "%.4f ± %.4f",
+                        services.get(n).mean(), services.get(n).half())}));
+                new PlanPage("How many media hosts " + script.name() + " needs").answer(found + ".").table(rows)
+                    .assumptions(java.util.stream.Stream.concat(java.util.stream.Stream.of(asked,
+                        "cells are as many as hosts, so titles lie elsewhere at each number"),
+                        Forecast.assumptions(false, true).stream()).toList()).write(report);
+            }
             return answer.sure() == 0 ? 1 : 0;
         }
 
--- a/src/main/java/cypressvalve/config/GatewaySettings.java
+++ b/src/main/java/cypressvalve/config/GatewaySettings.java
@@ -13,9 +13,20 @@
  * @param takeUp whether it begins with the service: its list is fresh, and what hosts carry for it is taken up
  * @param clockError what the operator's time service says the clock may be off by
  * @param uriExpiry how long a session's URIs hold
+ * @param entitlement how viewers' tokens are read, null where none is needed
  */
 public record GatewaySettings(int number, int of, String zone, String listenHost, int listenPort, long seed, URI list,
-    Path keys, Path accessLog, boolean takeUp, long clockError, long uriExpiry, Limits limits, HostLimits hosts, Service service) {
+    Path keys, Path accessLog, boolean takeUp, long clockError, long uriExpiry, Limits limits, HostLimits hosts, Service service,
+    Entitlement entitlement) {
+
+    /**
+     * Viewers need tokens.
+     *
+     * @param keys the file with the issuer's key set
+     * @param skew how far the issuer's clock may be off, ten minutes at most
+     * @param grace how long one plays on past its token's end
+     */
+    public record Entitlement(Path keys, String issuer, long skew, long grace) { }
 
     /** Bounds on what clients may do. */
     public record Limits(int sessions, int connections, int headerBytes, int headers, int parameters,
@@ -51,9 +62,27 @@
         return new GatewaySettings((int) g.whole("number", 0, Math.max(0, of - 1)), of, g.text("zone", ""), listen[0],
             Integer.parseInt(listen[1]), g.whole("seed", Long.MIN_VALUE, Long.MAX_VALUE, 0), list,
             keys.isEmpty() ? null : Path.of(keys), accessLog.isEmpty() ? null : Path.of(accessLog), g.flag("take-up", false),
-            g.time("clock-error", 0), g.time("uri-expiry", 43_200_000_000_000L), limits, hosts, Service.read(root.section("service")));
+            g.time("clock-error", 0), g.time("uri-expiry", 43_200_000_000_000L), limits, hosts, Service.read(root.section("service")),
+            g.has("entitlement") ? entitlement(g.section("entitlement")) : null);
     }
 
+    private static Entitlement entitlement(Doc.Section e) {
+        Entitlement read = new Entitlement(Path.of(e.text("keys", "")), e.text("issuer", ""),
+            e.time("skew", 30_000_000_000L), e.time("grace", 30_000_000_000L));
+        if (read.keys.toString().isEmpty()) {
+            e.wrong("keys", "the file with the issuer's key set");
+        }
+        if (read.issuer.isEmpty()) {
+            e.wrong("issuer", "the issuer's name, as its tokens have it");
+        }
+        if (read.skew > MOST_SKEW) {
+            e.wrong("skew", "ten minutes at most");
+        }
+        return read;
+    }
+
+    private static final long MOST_SKEW = 600_000_000_000L;
+
     private static String[] address(Doc.Section g, String key) {
         String text = g.text(key, "127.0.0.1:0");
         int colon = text.lastIndexOf(':');
--- a/src/main/java/cypressvalve/front/hls/HlsFront.java
+++ b/src/main/java/cypressvalve/front/hls/HlsFront.java
@@ -3,6 +3,10 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import cypressvalve.accesslog.AccessLogHandler;
 import cypressvalve.config.Service;
+import cypressvalve.entitlement.Door;
+import cypressvalve.entitlement.Refusal;
+import cypressvalve.entitlement.Terms;
+import cypressvalve.entitlement.TokenReader;
 import cypressvalve.net.HangUp;
 import cypressvalve.session.Answer;
 import cypressvalve.session.Ask;
@@ -17,6 +21,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.Locale;
 import java.util.Map;
 
 /**
@@ -36,9 +41,14 @@
     private final SessionCore core;
     private final SessionUris uris;
     private final long expiry;
+    private final Door door;
 
-    /** @param expiry nanoseconds for which a session's URIs hold */
-    public HlsFront(SessionCore core, SessionUris uris, long expiry) {
+    /**
+     * @param expiry nanoseconds for which a session's URIs hold
+     * @param door where viewers' tokens are looked at, null where none is needed
+     */
+    public HlsFront(SessionCore core, SessionUris uris, long expiry, Door door) {
+        this.door = door;
         this.core = core;
         this.uris = uris;
         this.expiry = expiry;
@@ -50,8 +60,8 @@
             .put(Headers.CACHE_CONTROL, "no-store");
         String[] parts = exchange.getRequestPath().split("/", -1);
         if (exchange.getRequestMethod().equals(Methods.OPTIONS)) {
-            exchange.getResponseHeaders().put(ALLOW_METHODS, "GET, DELETE").put(ALLOW_HEADERS,
-                "Prefer, CMCD-Session, CMCD-Request, CMCD-Object, CMCD-Status");
+            exchange.getResponseHeaders().put(ALLOW_METHODS, "GET, PUT, DELETE").put(ALLOW_HEADERS,
+                "Authorization, Prefer, CMCD-Session, CMCD-Request, CMCD-Object, CMCD-Status");
             exchange.setStatusCode(204).endExchange();
         } else if (parts.length == 4 && parts[1].equals("play") && parts[3].equals("main.m3u8")) {
             if (only(exchange, Methods.GET)) {
@@ -87,16 +97,61 @@
             problem(exchange, e.status(), e.getMessage(), Map.of());
             return;
         }
+        if (door != null) {
+            try {
+                ask = ask.with(door.admit(bearer(exchange), wanted(ask)));
+            } catch (TokenReader.Refused e) {
+                unentitled(exchange, e.why());
+                return;
+            }
+        }
+        Ask entitled = ask;
         if (prefer != null && AskReader.wait(prefer, 0) > 0) {
             exchange.getResponseHeaders().put(PREFERENCE_APPLIED, "wait=" + ask.patience() / SECOND);
         }
         exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
             Waiting waiting = new Waiting(exchange);
-            waiting.session = core.ask(ask, waiting);
+            waiting.session = core.ask(entitled, waiting);
             waiting.watch();
         });
     }
 
+    private Terms.Wanted wanted(Ask ask) {
+        return new Terms.Wanted(ask.tenant(), ask.plan(), ask.title(), core.clock().now());
+    }
+
+    /** The token of a request: Authorization, or the query where a player can't set fields (RFC 6750, section 2). */
+    private static String bearer(HttpServerExchange exchange) {
+        String field = exchange.getRequestHeaders().getFirst(Headers.AUTHORIZATION);
+        if (field != null) {
+            return field.regionMatches(true, 0, "Bearer ", 0, 7) ? field.substring(7).strip() : "";
+        }
+        Deque<String> query = exchange.getQueryParameters().get("access_token");
+        return query == null ? "" : query.peekFirst();
+    }
+
+    private void unentitled(HttpServerExchange exchange, Refusal why) {
+        String error = why == Refusal.MISSING ? "" : " error=\"" + (why.anotherTokenHelps() ? "invalid_token"
+            : "insufficient_scope") + "\"";
+        exchange.getResponseHeaders().put(Headers.WWW_AUTHENTICATE, "Bearer" + error);
+        problem(exchange, why.anotherTokenHelps() ? 401 : 403, "not entitled: " + why.name().toLowerCase(Locale.ROOT),
+            Map.of());
+    }
+
+    private void renew(HttpServerExchange exchange, Session session) {
+        if (door == null || session.ask().grant() == null) {
+            problem(exchange, 404, "this session holds no token", Map.of());
+            return;
+        }
+        try {
+            core.renewed(session, door.renew(session.ask().grant().token(), bearer(exchange), wanted(session.ask()))
+                .endsAt());
+            exchange.setStatusCode(204).endExchange();
+        } catch (TokenReader.Refused e) {
+            unentitled(exchange, e.why());
+        }
+    }
+
     /** One HTTP request that waits for the core's answer. */
     private final class Waiting implements Answer {
         private final HttpServerExchange exchange;
@@ -174,6 +229,8 @@
         } else if (exchange.getRequestMethod().equals(Methods.DELETE)) {
             core.end(session);
             exchange.setStatusCode(204).endExchange();
+        } else if (exchange.getRequestMethod().equals(Methods.PUT) && parts[6].equals("token")) {
+            renew(exchange, session);
         } else if (only(exchange, Methods.GET)) {
             core.seen(session);
             if (parts[6].equals("media.m3u8")) {
--- a/src/main/java/cypressvalve/lab/Comparison.java
+++ b/src/main/java/cypressvalve/lab/Comparison.java
@@ -36,6 +36,11 @@
         return List.copyOf(cells.keySet());
     }
 
+    /** Names of the figures of a cell's runs. */
+    public List<String> figures(String cell) {
+        return List.copyOf(cells.get(cell).values().iterator().next().figures().keySet());
+    }
+
     /** Sum of a figure over a cell's runs. */
     public double sum(String cell, String figure) {
         return cells.get(cell).values().stream().mapToDouble(r -> r.figures().getOrDefault(figure, 0.0)).sum();
--- a/src/main/java/cypressvalve/lab/Lab.java
+++ b/src/main/java/cypressvalve/lab/Lab.java
@@ -6,10 +6,12 @@
 import cypressvalve.host.HostAddress;
 import cypressvalve.judge.Finding;
 import cypressvalve.judge.Judge;
+import cypressvalve.model.Departure;
 import cypressvalve.model.MediaHost;
 import cypressvalve.rehearsal.Adoption;
 import cypressvalve.rehearsal.Stage;
 import cypressvalve.rehearsal.Summary;
+import cypressvalve.session.CoreEvents;
 import cypressvalve.standin.Player;
 import cypressvalve.tape.Tape;
 import cypressvalve.tape.TapeRecord;
@@ -18,6 +20,7 @@
 import cypressvalve.trouble.Struck;
 import cypressvalve.trouble.TroublePlayer;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -58,6 +61,13 @@
     private long openedAt = Long.MAX_VALUE;
     private int lives;
     private Throwable failure;
+    private final Map<Departure, Long> departures = new EnumMap<>(Departure.class);
+    private final CoreEvents events = new CoreEvents() {
+        @Override
+        public void departed(Departure what) {
+            departures.merge(what, 1L, Long::sum);
+        }
+    };
     private Tape kept;
     /** What is told before anybody can ask for a file: terms, and each host's start. */
     private final List<TapeRecord> early = new ArrayList<>();
@@ -207,6 +217,11 @@
         return summary;
     }
 
+    /** How often gateways departed from the ordinary path, by which way. */
+    public Map<Departure, Long> departures() {
+        return departures;
+    }
+
     /** Events run so far. */
     public long events() {
         return time.ran();
@@ -327,7 +342,7 @@
             tape.put("gateway", "up", "gateway", number);
             gateways.put(number, new LabGateway(time, day.service(), number, day.gateways().count(), day.zoneOfGateway(number),
                 day.seed() * 7919 + number + 100_003L * lives++, hosts, list, ONE_WAY,
-                time.now() < openedAt + BEGINNING, policy, cause -> failure = failure == null ? cause : failure));
+                time.now() < openedAt + BEGINNING, policy, events, cause -> failure = failure == null ? cause : failure));
         } else {
             LabGateway gateway = gateways.remove(number);
             if (gateway != null) {
--- a/src/main/java/cypressvalve/lab/LabGateway.java
+++ b/src/main/java/cypressvalve/lab/LabGateway.java
@@ -18,7 +18,7 @@
 
     /** Where a gateway stands: what it may use. */
     record Place(Simulation time, Service service, int number, int of, String zone, long seed, LabClient client, LabList list,
-        boolean takeUp) { }
+        boolean takeUp, CoreEvents events) { }
 
     private final Place place;
     private final Front front;
@@ -27,8 +27,9 @@
 
     /** @param takeUp whether it begins with the service */
     LabGateway(Simulation time, Service service, int number, int of, String zone, long seed, List<LabHost> hosts, LabList list,
-        long oneWay, boolean takeUp, Policy policy, Consumer<Throwable> onFailure) {
-        place = new Place(time, service, number, of, zone, seed, new LabClient(time, number, hosts, oneWay), list, takeUp);
+        long oneWay, boolean takeUp, Policy policy, CoreEvents events, Consumer<Throwable> onFailure) {
+        place = new Place(time, service, number, of, zone, seed, new LabClient(time, number, hosts, oneWay), list, takeUp,
+            events);
         front = policy == Policy.CONTROL ? core(place, onFailure) : new Baseline(place, policy);
     }
 
@@ -42,7 +43,7 @@
                 @Override
                 public void fetch() {
                 }
-            }, SESSIONS, ADMISSION, CoreEvents.NONE, onFailure);
+            }, SESSIONS, ADMISSION, place.events, onFailure);
         place.client.notes = core;
         core.start();
         boolean[] first = {place.takeUp};
--- a/src/main/java/cypressvalve/lab/Runner.java
+++ b/src/main/java/cypressvalve/lab/Runner.java
@@ -121,7 +121,7 @@
         long began = System.nanoTime();
         Lab lab = new Lab(cell.day(seed), cell.policy());
         Map<Integer, List<Finding>> findings = lab.play(share -> { });
-        return RunResult.of(cell.name(), seed, lab.summary(), findings, lab.events(),
+        return RunResult.of(cell.name(), seed, lab.summary(), findings, lab.departures(), lab.events(),
             (System.nanoTime() - began) / 1e9);
     }
 }
--- a/src/main/java/cypressvalve/lab/Trials.java
+++ b/src/main/java/cypressvalve/lab/Trials.java
@@ -87,7 +87,7 @@
         lab.early().forEach(timeline::accept);
         lab.tape().also(timeline::accept);
         var findings = lab.play(share -> { });
-        RunResult result = RunResult.of(name, day.seed(), lab.summary(), findings, lab.events(),
+        RunResult result = RunResult.of(name, day.seed(), lab.summary(), findings, lab.departures(), lab.events(),
             (System.nanoTime() - began) / 1e9);
         return new Run(result, timeline.windows(1, day.length() / (double) SECOND),
             findings.values().stream().mapToInt(List::size).sum());
--- a/src/main/java/cypressvalve/load/report/ExperimentPage.java
+++ b/src/main/java/cypressvalve/load/report/ExperimentPage.java
@@ -36,9 +36,41 @@
             }
             page.raw(Plots.img(figure + ", mean and 95 percent interval", "cell", figure, lines, List.of(), false));
         }
+        departures(page, comparison);
         page.write(to);
     }
 
+    /** How often Control's departures act, cell by cell; nothing where results are of before they were counted. */
+    private static void departures(Page page, Comparison comparison) throws IOException {
+        List<String> cells = comparison.cells();
+        List<String> names = comparison.figures(cells.get(0)).stream().filter(f -> f.startsWith(RunResult.DEPARTURE))
+            .toList();
+        if (names.isEmpty()) {
+            return;
+        }
+        List<String[]> rows = new ArrayList<>();
+        List<Plots.Line> lines = new ArrayList<>();
+        List<String> head = new ArrayList<>(List.of("times a viewer"));
+        for (int i = 0; i < cells.size(); i++) {
+            head.add((i + 1) + " " + cells.get(i));
+        }
+        rows.add(head.toArray(String[]::new));
+        for (String name : names) {
+            double[] x = new double[cells.size()];
+            double[] y = new double[cells.size()];
+            List<String> row = new ArrayList<>(List.of(name.substring(RunResult.DEPARTURE.length())));
+            for (int i = 0; i < cells.size(); i++) {
+                x[i] = i + 1;
+                y[i] = comparison.mean(cells.get(i), name).mean();
+                row.add(String.format(Locale.ROOT, "%.3f", y[i]));
+            }
+            rows.add(row.toArray(String[]::new));
+            lines.add(new Plots.Line(row.get(0), x, y));
+        }
+        page.heading("How often Control departs from the ordinary path").table(rows)
+            .raw(Plots.img("Departures a viewer", "cell", "times", lines, List.of(), false));
+    }
+
     /** Means of all cells, a row a cell. */
     public static List<String[]> means(Comparison comparison) {
         List<String[]> rows = new ArrayList<>();
--- a/src/main/java/cypressvalve/planner/Fluid.java
+++ b/src/main/java/cypressvalve/planner/Fluid.java
@@ -18,8 +18,14 @@
     /** Beyond this use viewers notice, as Control has it (FULL_SHARE). */
     private static final double FULL = 0.98;
 
+    /**
+     * New playbacks a second that one gateway's loop decides and answers, its segments' redirects beside them: half of
+     * what bench/path reaches with client, gateway and hosts on one machine (docs/results.md).
+     */
+    private static final double GATEWAY_PACE = 1000;
+
     /** What can run out. */
-    public enum Resource { LINKS, UPLINKS, PLACES, HOLDERS, HOLDER_PLACES, SEATS, SETUP_CORES }
+    public enum Resource { LINKS, UPLINKS, PLACES, HOLDERS, HOLDER_PLACES, SEATS, SETUP_CORES, GATEWAYS }
 
     /**
      * One resource's use.
@@ -112,6 +118,8 @@
         }
         double cores = demand.arrivals() * fleet.work() / (Math.max(hosts, 1e-9) * fleet.cores());
         add(uses, Resource.SETUP_CORES, cores, cores, "");
+        double gateways = demand.arrivals() / (Math.max(1, fleet.gateways()) * GATEWAY_PACE);
+        add(uses, Resource.GATEWAYS, gateways, gateways, "");
         uses.sort(Comparator.comparingDouble(Use::until));
         double mean = count == 0 ? 1 : low / count;
         double byLinks = erlangB(low / mean, FULL * links / mean);
--- a/src/main/java/cypressvalve/planner/Shortage.java
+++ b/src/main/java/cypressvalve/planner/Shortage.java
@@ -76,6 +76,7 @@
             case HOLDERS, HOLDER_PLACES -> "copies";
             case SEATS -> "seats";
             case SETUP_CORES -> "setup-cores";
+            case GATEWAYS -> "gateways";
         };
     }
 
--- a/src/main/java/cypressvalve/rehearsal/Stage.java
+++ b/src/main/java/cypressvalve/rehearsal/Stage.java
@@ -46,6 +46,7 @@
     private final Tape tape;
     private final Path accessLogs;
     private final GatewaySettings.Limits limits;
+    private GatewaySettings.Entitlement entitlement;
     private final List<Uplink> uplinks = new ArrayList<>();
     private final List<MediaHostServer> hosts = new ArrayList<>();
     private final double[] weights;
@@ -149,6 +150,11 @@
             day.zoneOfRack(day.rackOf(i)));
     }
 
+    /** Gateways started from now on let viewers in by tokens. */
+    public void entitle(GatewaySettings.Entitlement by) {
+        entitlement = by;
+    }
+
     /** Starts all gateways and waits until each has its list. */
     public void startGateways() throws InterruptedException {
         openedAt = tape.now();
@@ -167,7 +173,7 @@
         GatewaySettings settings = new GatewaySettings(number, day.gateways().count(),
             day.zoneOfGateway(number), "127.0.0.1", 0, day.seed() * 7919 + number + 100_003L * lives++, URI.create(list.uri()), keys, accessLogs == null
                 ? null : accessLogs.resolve("gateway-" + number + ".log"), tape.now() < openedAt + BEGINNING, 0, 43_200_000_000_000L,
-            limits, HostLimits.DEFAULT, day.service());
+            limits, HostLimits.DEFAULT, day.service(), entitlement);
         GatewayNode node = new GatewayNode(settings, Clock.anchored(), cause -> {
             failure.compareAndSet(null, cause);
             tape.put("gateway", "down", "gateway", number, "why", String.valueOf(cause));
--- a/src/main/java/cypressvalve/run/GatewayNode.java
+++ b/src/main/java/cypressvalve/run/GatewayNode.java
@@ -6,6 +6,9 @@
 import cypressvalve.accesslog.AccessLogHandler;
 import cypressvalve.config.BadSettings;
 import cypressvalve.config.GatewaySettings;
+import cypressvalve.entitlement.Door;
+import cypressvalve.entitlement.Terms;
+import cypressvalve.entitlement.TokenReader;
 import cypressvalve.fleet.ListClient;
 import cypressvalve.fleet.membership.ListVersion;
 import cypressvalve.front.hls.HlsFront;
@@ -63,6 +66,7 @@
     private final Undertow server;
     private final AccessLog accessLog;
     private final KeyFile keyFile;
+    private final KeyFile tokenFile;
     private final CountDownLatch listed = new CountDownLatch(1);
     private final AtomicBoolean killed = new AtomicBoolean();
 
@@ -81,7 +85,10 @@
         }
         String keys = keys(settings);
         SessionUris uris = uris(settings, keys);
-        keyFile = settings.keys() == null ? null : new KeyFile(settings.keys(), uris, keys);
+        keyFile = settings.keys() == null ? null : new KeyFile(settings.keys(), uris::replaceKeys, keys);
+        String tokenKeys = settings.entitlement() == null ? null : tokenKeys(settings.entitlement().keys());
+        TokenReader tokens = tokenKeys == null ? null : tokens(settings.entitlement(), tokenKeys);
+        tokenFile = tokens == null ? null : new KeyFile(settings.entitlement().keys(), tokens::replaceKeys, tokenKeys);
         try {
             worker = Xnio.getInstance().createWorker(OptionMap.builder()
                 .set(Options.WORKER_NAME, "gateway-" + settings.number()).set(Options.WORKER_IO_THREADS, 1)
@@ -103,7 +110,9 @@
             onFailure);
         notes.core = core;
         metrics.bind(core);
-        HttpHandler hls = new EncodingHandler(new HlsFront(core, uris, settings.uriExpiry()),
+        HttpHandler hls = new EncodingHandler(new HlsFront(core, uris, settings.uriExpiry(), tokens == null
+            ? null : new Door(tokens, new Terms(settings.entitlement().skew(), settings.entitlement().grace()),
+                metrics::unentitled)),
             new ContentEncodingRepository().addEncodingHandler("gzip", new GzipEncodingProvider(), 50,
                 exchange -> exchange.getResponseContentLength() > 1024));
         PathHandler paths = new PathHandler(hls).addExactPath("/-/health", exchange -> {
@@ -137,6 +146,24 @@
         }
     }
 
+    private static String tokenKeys(java.nio.file.Path file) {
+        try {
+            return Files.readString(file);
+        } catch (IOException e) {
+            throw new BadSettings(List.of(file + ":1: expected a key set in Tink's JSON form: "
+                + e.getClass().getSimpleName()));
+        }
+    }
+
+    private static TokenReader tokens(GatewaySettings.Entitlement by, String keys) {
+        try {
+            return new TokenReader(keys, by.issuer(), by.skew());
+        } catch (GeneralSecurityException e) {
+            throw new BadSettings(List.of(by.keys() + ":1: expected a key set for JSON web tokens in Tink's JSON form: "
+                + e.getClass().getSimpleName()));
+        }
+    }
+
     private static String keys(GatewaySettings settings) {
         try {
             return settings.keys() == null ? SessionUris.freshKeys() : Files.readString(settings.keys());
@@ -161,7 +188,14 @@
     private void lookAtKeys() {
         thread.executeAfter(() -> {
             if (!killed.get()) {
-                worker.execute(keyFile::look);
+                worker.execute(() -> {
+                    if (keyFile != null) {
+                        keyFile.look();
+                    }
+                    if (tokenFile != null) {
+                        tokenFile.look();
+                    }
+                });
                 lookAtKeys();
             }
         }, KEYS_LOOK_S, TimeUnit.SECONDS);
@@ -218,7 +252,7 @@
             });
         });
         server.start();
-        if (keyFile != null) {
+        if (keyFile != null || tokenFile != null) {
             lookAtKeys();
         }
         LOG.info("gateway listens {} {}", kv("gateway", settings.number()), kv("port", port()));
--- a/src/main/java/cypressvalve/run/KeyFile.java
+++ b/src/main/java/cypressvalve/run/KeyFile.java
@@ -1,6 +1,5 @@
 package cypressvalve.run;
 
-import cypressvalve.front.hls.SessionUris;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -8,18 +7,23 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** The key file of session URIs, looked at again while the gateway runs. Reads a disk: never on the loop. */
+/** A key file, of session URIs or of tokens, looked at again while the gateway runs. Reads a disk: never on the loop. */
 final class KeyFile {
     private static final Logger LOG = LoggerFactory.getLogger(KeyFile.class);
 
     private final Path file;
-    private final SessionUris uris;
+    private final Keys keys;
     private String seen;
 
-    /** @param inForce the file's text that the URIs were made with */
-    KeyFile(Path file, SessionUris uris, String inForce) {
+    /** What takes a new key set, or leaves the old one in force. */
+    interface Keys {
+        void replaceKeys(String text) throws GeneralSecurityException;
+    }
+
+    /** @param inForce the file's text that the keys in force were read from */
+    KeyFile(Path file, Keys keys, String inForce) {
         this.file = file;
-        this.uris = uris;
+        this.keys = keys;
         this.seen = inForce;
     }
 
@@ -41,7 +45,7 @@
         }
         seen = text;
         try {
-            uris.replaceKeys(text);
+            keys.replaceKeys(text);
             LOG.info("keys of {} are in force", file);
             return true;
         } catch (GeneralSecurityException | RuntimeException e) {
--- a/src/main/java/cypressvalve/session/CoreEvents.java
+++ b/src/main/java/cypressvalve/session/CoreEvents.java
@@ -1,6 +1,7 @@
 package cypressvalve.session;
 
 import cypressvalve.admission.Gate;
+import cypressvalve.model.Departure;
 import cypressvalve.model.Verdict;
 
 /** What the core tells its metrics; times in nanoseconds. */
@@ -22,6 +23,9 @@
     /** A request did not reach the decisions. */
     default void refused(Gate.Refusal why, String tenant) { }
 
+    /** Control departed from the design page's ordinary path. */
+    default void departed(Departure what) { }
+
     /** How long a task of the core waited for the loop. */
     default void loopDelay(long waited) { }
 }
--- a/src/main/java/cypressvalve/session/Session.java
+++ b/src/main/java/cypressvalve/session/Session.java
@@ -12,7 +12,7 @@
     public enum State { OPENING, PLAYING, ENDED }
 
     /** Why a session is over. */
-    public enum End { REJECTED, FAILED, LEFT, SILENT, HOST_LOST, MOVED, DRAINED }
+    public enum End { REJECTED, FAILED, LEFT, SILENT, HOST_LOST, MOVED, DRAINED, EXPIRED }
 
     private final Ask ask;
     private final Service.TitleRow title;
@@ -24,6 +24,8 @@
     /** What the host calls it; null until it plays. */
     String hostName;
     long lastSeen;
+    /** When it ends unless its token is renewed. */
+    long endsAt;
     /** System.nanoTime() when it began to play. */
     long begunAt;
 
@@ -31,6 +33,7 @@
         this.ask = ask;
         this.title = title;
         this.playback = playback;
+        endsAt = ask.grant() == null ? Long.MAX_VALUE : ask.grant().endsAt();
     }
 
     /** The gateway's name of it, unguessable. */
--- a/src/main/java/cypressvalve/session/SessionCore.java
+++ b/src/main/java/cypressvalve/session/SessionCore.java
@@ -13,6 +13,7 @@
 import cypressvalve.host.HostClient;
 import cypressvalve.host.LoadReport;
 import cypressvalve.host.SetUpOrder;
+import cypressvalve.model.Departure;
 import cypressvalve.model.MediaHost;
 import cypressvalve.model.Playback;
 import cypressvalve.model.Settings;
@@ -54,6 +55,7 @@
     private final Control control;
     private final Map<String, Session> sessions = new LinkedHashMap<>();
     private final Map<String, Session> byKey = new HashMap<>();
+    private final Map<String, Integer> byToken = new HashMap<>();
     private final Map<String, Title> titles = new HashMap<>();
     private final Map<Long, MediaHost> hosts = new HashMap<>();
     private final Map<Long, HostAddress> addresses = new HashMap<>();
@@ -176,6 +178,12 @@
             answer.rejected(0);
             return null;
         }
+        if (ask.grant() != null && byToken.getOrDefault(ask.grant().token(), 0) >= ask.grant().atOnce()) {
+            // One of the others may have been left without a word: by then that is known.
+            events.answered("rejected", ask.plan(), 0);
+            answer.rejected(Silence.after(service.segment()));
+            return null;
+        }
         Gate.Refusal refusal = gate.ask(tenant(ask), clock.now());
         if (refusal != null) {
             events.refused(refusal, ask.tenant());
@@ -188,10 +196,7 @@
         Session session = new Session(ask, service.titles().get(ask.title()), pb);
         session.waiting.add(answer);
         session.lastSeen = clock.now();
-        sessions.put(pb.id, session);
-        if (ask.key() != null) {
-            byKey.put(ask.key(), session);
-        }
+        keep(session);
         input(() -> {
             pb.arrivedAt = now();
             pb.abandonAt = pb.arrivedAt + patience;
@@ -228,6 +233,16 @@
         session.lastSeen = clock.now();
     }
 
+    /** The playback's token was renewed: it ends then unless it is renewed again. */
+    public void renewed(Session session, long endsAt) {
+        session.endsAt = endsAt;
+    }
+
+    /** Sessions held by a token, set-ups included. */
+    public int heldBy(String token) {
+        return byToken.getOrDefault(token, 0);
+    }
+
     /** The viewer ends its session: seat and place are free at once. */
     public void end(Session session) {
         over(session, Session.End.LEFT);
@@ -264,8 +279,20 @@
         input(() -> control.cameBack(last, verdict, true, Double.NaN, Double.NaN));
     }
 
+    private void keep(Session session) {
+        sessions.put(session.id(), session);
+        if (session.ask().key() != null) {
+            byKey.put(session.ask().key(), session);
+        }
+        if (session.ask().grant() != null) {
+            byToken.merge(session.ask().grant().token(), 1, Integer::sum);
+        }
+    }
+
     private void drop(Session session) {
-        sessions.remove(session.id());
+        if (sessions.remove(session.id()) != null && session.ask().grant() != null) {
+            byToken.computeIfPresent(session.ask().grant().token(), (token, held) -> held == 1 ? null : held - 1);
+        }
         if (session.ask().key() != null) {
             byKey.remove(session.ask().key(), session);
         }
@@ -341,10 +368,7 @@
         session.hostName = carried.name();
         session.begunAt = System.nanoTime();
         session.lastSeen = clock.now();
-        sessions.put(id, session);
-        if (ask.key() != null) {
-            byKey.put(ask.key(), session);
-        }
+        keep(session);
         LOG.info("taken up {} {}", kv("playback", id), kv("host", host.id));
         input(() -> {
             pb.arrivedAt = pb.abandonAt = now();
@@ -571,6 +595,11 @@
         follower.fetch();
     }
 
+    @Override
+    public void departed(Departure what) {
+        events.departed(what);
+    }
+
     @Override
     public void log(String line) {
         LOG.info(line);
@@ -659,6 +688,8 @@
             }
             long at = clock.now();
             events.loopDelay(Math.max(0, at - due - SWEEP));
+            List.copyOf(sessions.values()).stream().filter(s -> s.state == Session.State.PLAYING && at > s.endsAt)
+                .forEach(s -> over(s, Session.End.EXPIRED));
             List.copyOf(sessions.values()).stream().filter(s -> s.state == Session.State.PLAYING
                 && Silence.gone(s.lastSeen, at, service.segment())).forEach(s -> over(s, Session.End.SILENT));
             sweepLater(clock.now());
--- a/src/main/java/cypressvalve/telemetry/GatewayMetrics.java
+++ b/src/main/java/cypressvalve/telemetry/GatewayMetrics.java
@@ -1,6 +1,8 @@
 package cypressvalve.telemetry;
 
 import cypressvalve.admission.Gate;
+import cypressvalve.entitlement.Refusal;
+import cypressvalve.model.Departure;
 import cypressvalve.model.MediaHost;
 import cypressvalve.model.Verdict;
 import cypressvalve.session.CoreEvents;
@@ -13,7 +15,9 @@
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.util.EnumMap;
 import java.util.Locale;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
 /** A gateway's metrics by Micrometer; docs/on-call.md tells what each is looked at for. */
@@ -21,9 +25,14 @@
     private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private final Tags own;
     private final Timer delay;
+    private final Map<Departure, Counter> departures = new EnumMap<>(Departure.class);
 
     public GatewayMetrics(int gateway) {
         own = Tags.of("gateway", String.valueOf(gateway));
+        for (Departure what : Departure.values()) {
+            departures.put(what, Counter.builder("cypressvalve.departures").tags(own)
+                .tag("departure", word(what)).register(registry));
+        }
         delay = Timer.builder("cypressvalve.loop.delay").description("how long the loop kept a due task waiting")
             .tags(own).publishPercentiles(0.5, 0.99).register(registry);
     }
@@ -52,6 +61,11 @@
         count("cypressvalve.admission.refused", Tag.of("limit", word(why)), Tag.of("tenant", tenant));
     }
 
+    /** A request without a token that is good for it. */
+    public void unentitled(Refusal why) {
+        count("cypressvalve.entitlement.refused", Tag.of("why", word(why)));
+    }
+
     @Override
     public void rungStep(int to) {
         count("cypressvalve.rung.steps", Tag.of("to", String.valueOf(to)));
@@ -62,6 +76,11 @@
         count("cypressvalve.sessions.ended", Tag.of("why", word(end)));
     }
 
+    @Override
+    public void departed(Departure what) {
+        departures.get(what).increment();
+    }
+
     @Override
     public void loopDelay(long waited) {
         delay.record(waited, TimeUnit.NANOSECONDS);
--- a/src/test/java/cypressvalve/ArchitectureTest.java
+++ b/src/test/java/cypressvalve/ArchitectureTest.java
@@ -19,7 +19,7 @@
     static final ArchRule DECISIONS_DO_NO_IO = noClasses().that().haveFullyQualifiedName("cypressvalve.Control")
         .or().resideInAnyPackage("cypressvalve.model..", "cypressvalve.judge..")
         .or().resideInAnyPackage("cypressvalve.load.sessions..", "cypressvalve.admission..",
-            "cypressvalve.planner..")
+            "cypressvalve.planner..", "cypressvalve.entitlement..")
         .or().haveFullyQualifiedName("cypressvalve.load.replay.Schedule")
         .or().haveFullyQualifiedName("cypressvalve.load.replay.Match")
         .or().haveFullyQualifiedName("cypressvalve.lab.Comparison")
--- a/src/test/java/cypressvalve/rehearsal/HostileInputTest.java
+++ b/src/test/java/cypressvalve/rehearsal/HostileInputTest.java
@@ -175,7 +175,7 @@
         GatewayNode node = new GatewayNode(new GatewaySettings(0, 1, "", "127.0.0.1", 0, 1,
             URI.create(scene.stage.list().uri()), null, null, false, 0, 1_000_000_000_000L, new GatewaySettings.Limits(
                 d.sessions(), 5, d.headerBytes(), d.headers(), d.parameters(), d.requestTimeout(), d.idleTimeout(), d.admission()),
-            HostLimits.DEFAULT, scene.stage.day().service()), Clock.anchored(), cause -> { });
+            HostLimits.DEFAULT, scene.stage.day().service(), null), Clock.anchored(), cause -> { });
         node.start();
         List<Socket> sockets = new ArrayList<>();
         try {
--- a/src/test/java/cypressvalve/rehearsal/Scene.java
+++ b/src/test/java/cypressvalve/rehearsal/Scene.java
@@ -63,6 +63,11 @@
     }
 
     private Scene(String script, GatewaySettings.Limits limits) throws IOException, InterruptedException {
+        this(script, limits, null);
+    }
+
+    private Scene(String script, GatewaySettings.Limits limits, GatewaySettings.Entitlement entitlement)
+        throws IOException, InterruptedException {
         Doc doc = Doc.parse("scene", script);
         DayScript day = DayScript.read(doc);
         doc.verify();
@@ -74,6 +79,7 @@
             }
         });
         stage = new Stage(day, tape, null, limits);
+        stage.entitle(entitlement);
         stage.startGateways();
     }
 
@@ -82,6 +88,12 @@
         return new Scene(gateways, hosts, "5ms", "{time: 0s}");
     }
 
+    /** A scene of one gateway that lets viewers in by tokens. */
+    static Scene entitled(int hosts, GatewaySettings.Entitlement by) throws IOException, InterruptedException {
+        return new Scene(DAY.replace("GATEWAYS", "1").replace("HOSTS", "" + hosts).replace("WORK", "5ms")
+            .replace("COLD", "{time: 0s}"), GatewaySettings.Limits.DEFAULT, by);
+    }
+
     /** A scene whose hosts carry as many sessions as one likes. */
     static Scene wide(int gateways, int hosts) throws IOException, InterruptedException {
         return new Scene(DAY.replace("GATEWAYS", "" + gateways).replace("HOSTS", "" + hosts).replace("WORK", "1ms")
--- a/src/test/java/cypressvalve/run/KeyFileTest.java
+++ b/src/test/java/cypressvalve/run/KeyFileTest.java
@@ -25,7 +25,7 @@
         String first = SessionUris.freshKeys();
         Path file = Files.writeString(directory.resolve("keys.json"), first);
         SessionUris uris = new SessionUris(first);
-        KeyFile keys = new KeyFile(file, uris, first);
+        KeyFile keys = new KeyFile(file, uris::replaceKeys, first);
         String before = uris.path(new SessionUris.Named("t", "s", 9));
         assertFalse(keys.look(), "nothing has changed");
         Files.writeString(file, SessionUris.rotated(first));
@@ -41,7 +41,7 @@
         String first = SessionUris.freshKeys();
         Path file = Files.writeString(directory.resolve("keys.json"), first);
         SessionUris uris = new SessionUris(first);
-        KeyFile keys = new KeyFile(file, uris, first);
+        KeyFile keys = new KeyFile(file, uris::replaceKeys, first);
         String path = uris.path(new SessionUris.Named("t", "s", 9));
         Files.delete(file);
         assertFalse(keys.look());
