Another token with a known session id is another viewer; dead code of losses goes

Cause: read again: a request joined the playback of whoever had said the same session id, whatever token it brought, and so got that viewer's URIs without being counted.

--- a/src/main/java/cypressvalve/planner/LossCase.java
+++ b/src/main/java/cypressvalve/planner/LossCase.java
@@ -115,11 +115,4 @@
         }
         return all;
     }
-
-    /** Hosts that live on. */
-    public List<Integer> living(int count) {
-        List<Integer> all = new ArrayList<>(IntStream.range(0, count).boxed().toList());
-        all.removeAll(hosts);
-        return all;
-    }
 }
--- a/src/main/java/cypressvalve/session/Ask.java
+++ b/src/main/java/cypressvalve/session/Ask.java
@@ -50,8 +50,12 @@
         }
     }
 
-    /** Asks with the same key are one playback; null where the viewer can't be known again. */
+    /**
+     * Asks with the same key are one playback; null where the viewer can't be known again. Who brings another token is
+     * another viewer, whatever session id it says.
+     */
     String key() {
-        return viewer.isEmpty() ? null : viewer + '\n' + tenant + '\n' + plan + '\n' + title;
+        return viewer.isEmpty() ? null : viewer + '\n' + tenant + '\n' + plan + '\n' + title
+            + (grant == null ? "" : '\n' + grant.token());
     }
 }
--- a/src/test/java/cypressvalve/rehearsal/EntitlementTest.java
+++ b/src/test/java/cypressvalve/rehearsal/EntitlementTest.java
@@ -109,6 +109,20 @@
         }
     }
 
+    @Test
+    void whoSaysAnothersSessionIdWithATokenOfItsOwnGetsNothingOfTheOthers() throws Exception {
+        try (Scene scene = scene(1)) {
+            Scene.Viewer owner = scene.watch("a", 0, "plain&access_token=" + token("t", 1, "", 60));
+            assertEquals(200, owner.status());
+            Scene.Viewer other = scene.watch("a", 0, "plain&access_token=" + token("u", 1, "", 60));
+            assertEquals(200, other.status());
+            assertTrue(!owner.media().equals(other.media()));
+            assertEquals(1, scene.onLoop(0, () -> scene.stage.gateway(0).core().heldBy("t")));
+            assertEquals(1, scene.onLoop(0, () -> scene.stage.gateway(0).core().heldBy("u")));
+            assertEquals(Map.of(), scene.broken());
+        }
+    }
+
     @Test
     void manyWhoRetryAndLeaveWithOneTokenNeverHoldMoreAndNoneIsLost() throws Exception {
         try (Scene scene = scene(2)) {
