The estimate of a loss counts the gateways that are left

Cause: read again: with half the gateways lost the estimate still spread viewers, and so seats, over all of them.

Change: the fleet of the estimate has the living gateways only.

--- a/src/main/java/cypressvalve/cli/PlanCommand.java
+++ b/src/main/java/cypressvalve/cli/PlanCommand.java
@@ -362,7 +362,8 @@
             double ends = at + lost.longest(back, away);
             Recovery seen = Recovery.of(course.stream().map(w -> new Recovery.Point(w.from(), w.service(), w.first()))
                 .toList(), at, ends);
-            Fluid.Estimate left = Fluid.without(fleet, demand, lost.hosts());
+            Fluid.Estimate left = Fluid.without(fleet.gateways(fleet.gateways() - lost.gateways().size()), demand,
+                lost.hosts());
             Forecast f = forecast(with, null);
             String whole = Double.isNaN(seen.wholeAt()) ? "not whole again within the day"
                 : String.format(Locale.ROOT, "whole again %.0f s after the loss", seen.wholeAt() - at);
--- a/src/main/java/cypressvalve/planner/Fleet.java
+++ b/src/main/java/cypressvalve/planner/Fleet.java
@@ -26,6 +26,11 @@
             day.gateways().count(), s.rules().coldShare(), s.rules().coldTime() / 1e9, s);
     }
 
+    /** The same with so many gateways, one at least. */
+    public Fleet gateways(int count) {
+        return new Fleet(hosts, racks, link, uplink, places, cores, work, Math.max(1, count), coldShare, coldTime, service);
+    }
+
     /** The same with so many hosts; the racks stay. */
     public Fleet hosts(int count) {
         return new Fleet(count, racks, link, uplink, places, cores, work, gateways, coldShare, coldTime, service);
--- a/src/test/java/cypressvalve/planner/LossTest.java
+++ b/src/test/java/cypressvalve/planner/LossTest.java
@@ -74,6 +74,18 @@
             IntStream.range(0, 12).boxed().toList()).rungShare()), "nothing fits where no host is left");
     }
 
+    @Test
+    void lostGatewaysLeaveTheirViewersToTheOthersSeats() {
+        Fleet fleet = Fleet.of(day);
+        double all = seats(Fluid.of(fleet, demand));
+        assertEquals(all * 2, seats(Fluid.of(fleet.gateways(2), demand)), 1e-9);
+        assertEquals(all * 4, seats(Fluid.of(fleet.gateways(0), demand)), 1e-9, "one at least");
+    }
+
+    private static double seats(Fluid.Estimate e) {
+        return e.uses().stream().filter(u -> u.resource() == Fluid.Resource.SEATS).findFirst().orElseThrow().low();
+    }
+
     private static Fluid.Use links(Fluid.Estimate e) {
         return e.uses().stream().filter(u -> u.resource() == Fluid.Resource.LINKS).findFirst().orElseThrow();
     }
