serve: the platform's gateway, binary viewers and RTSP hosts on the same core

Change: front.signal, host.rtsp, fleet.stream, config.PlatformSettings, run.PlatformNode and run.Serve on XNIO channels (net.Duplex). The core leaves to a House what it took from HLS: titles, shares, silence, the end of a drain, ids of its own. SettingsReader moved to config for wire and gateway. Ends reach the front by Answer.ended.

--- a/src/main/java/cypressvalve/Main.java
+++ b/src/main/java/cypressvalve/Main.java
@@ -2,9 +2,10 @@
 
 import cypressvalve.adapter.Adapter;
 import cypressvalve.cli.Commands;
+import cypressvalve.run.Serve;
 import java.io.IOException;
 
-/** The program's entry. The adapter is kept apart: it loads nothing of the command line and its libraries. */
+/** The program's entry. The adapter and the platform's gateway are kept apart: they load nothing of the command line and its libraries. */
 public final class Main {
     private Main() {
     }
@@ -13,6 +14,9 @@
         if (args.length == 1 && args[0].equals("adapter")) {
             System.exit(Adapter.run(System.in, System.out, System.err));
         }
+        if (args.length == 1 && args[0].equals("serve")) {
+            System.exit(Serve.run(System.getenv()));
+        }
         int code = Commands.execute(args);
         if (code >= 0) {
             System.exit(code);
--- a/src/main/java/cypressvalve/adapter/Instance.java
+++ b/src/main/java/cypressvalve/adapter/Instance.java
@@ -2,6 +2,8 @@
 
 import cypressvalve.Control;
 import cypressvalve.Gateway;
+import cypressvalve.config.BadSettings;
+import cypressvalve.config.SettingsReader;
 import cypressvalve.model.MediaHost;
 import cypressvalve.model.Playback;
 import cypressvalve.model.Settings;
@@ -26,7 +28,11 @@
     private boolean faulted;
 
     Instance(Line begin, long now) {
-        settings = SettingsReader.read(begin.text("profileData"));
+        try {
+            settings = SettingsReader.read(begin.text("profileData"));
+        } catch (BadSettings e) {
+            throw new BadInput("BEGIN: " + e.getMessage());
+        }
         this.now = now;
         control = new Control(settings, begin.whole("randomSeed"), now, this);
         control.at(now);
--- a/src/main/java/cypressvalve/adapter/SettingsReader.java
+++ b/src/main/java/cypressvalve/config/SettingsReader.java
@@ -1,4 +1,4 @@
-package cypressvalve.adapter;
+package cypressvalve.config;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -6,23 +6,28 @@
 import cypressvalve.model.Plan;
 import cypressvalve.model.Settings;
 import java.util.Arrays;
+import java.util.List;
 
-/** Reads a gateway's settings from the JSON object that comes with its start. */
-final class SettingsReader {
+/** Reads a gateway's settings from the JSON object that comes with its start, on the wire or in its configuration. */
+public final class SettingsReader {
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private SettingsReader() {
     }
 
-    static Settings read(String text) {
-        JsonNode all;
+    /** The settings in a JSON text. */
+    public static Settings read(String text) {
         try {
-            all = JSON.readTree(text);
+            return read(JSON.readTree(text));
         } catch (JsonProcessingException e) {
-            throw new BadInput("BEGIN: field profileData is not JSON");
+            throw bad("not JSON");
         }
+    }
+
+    /** The settings in a JSON object. */
+    public static Settings read(JsonNode all) {
         if (all == null || !all.isObject()) {
-            throw new BadInput("BEGIN: field profileData is not a JSON object");
+            throw bad("not a JSON object");
         }
         Settings s = new Settings();
         s.me = (int) number(all, "me", 0);
@@ -105,7 +110,7 @@
         s.ladder = numbers(family, "ladderKb");
         s.rungRevenue = numbers(family, "levelWorth");
         if (s.rungRevenue.length < s.ladder.length) {
-            throw new BadInput("BEGIN: setting levelWorth is shorter than ladderKb");
+            throw bad("setting levelWorth is shorter than ladderKb");
         }
         JsonNode kinds = all.path("shapes");
         for (int i = 0; i < kinds.size(); i++) {
@@ -113,6 +118,10 @@
         }
     }
 
+    private static BadSettings bad(String what) {
+        return new BadSettings(List.of(what));
+    }
+
     private static double number(JsonNode in, String key, double otherwise) {
         return numeric(in.path(key), key, otherwise);
     }
@@ -126,7 +135,7 @@
             return otherwise;
         }
         if (!node.isNumber()) {
-            throw new BadInput("BEGIN: setting " + key + " is not a number");
+            throw bad("setting " + key + " is not a number");
         }
         return node.asDouble();
     }
--- a/src/main/java/cypressvalve/front/hls/HlsFront.java
+++ b/src/main/java/cypressvalve/front/hls/HlsFront.java
@@ -39,6 +39,7 @@
     private static final long SECOND = 1_000_000_000L;
 
     private final SessionCore core;
+    private final Service service;
     private final SessionUris uris;
     private final long expiry;
     private final Door door;
@@ -47,7 +48,8 @@
      * @param expiry nanoseconds for which a session's URIs hold
      * @param door where viewers' tokens are looked at, null where none is needed
      */
-    public HlsFront(SessionCore core, SessionUris uris, long expiry, Door door) {
+    public HlsFront(SessionCore core, Service service, SessionUris uris, long expiry, Door door) {
+        this.service = service;
         this.door = door;
         this.core = core;
         this.uris = uris;
@@ -91,7 +93,7 @@
         Ask ask;
         String prefer = exchange.getRequestHeaders().getFirst(new HttpString("Prefer"));
         try {
-            ask = AskReader.read(core.service(), title, query, prefer,
+            ask = AskReader.read(service, title, query, prefer,
                 exchange.getRequestHeaders().getFirst(new HttpString("CMCD-Session")));
         } catch (AskReader.Refused e) {
             problem(exchange, e.status(), e.getMessage(), Map.of());
@@ -191,10 +193,10 @@
             if (first()) {
                 exchange.putAttachment(AccessLogHandler.SESSION, plays.id());
                 long expires = (core.clock().now() + expiry) / SECOND;
-                String path = uris.path(new SessionUris.Named(plays.title().key(), plays.id(), expires));
+                String path = uris.path(new SessionUris.Named(plays.ask().title(), plays.id(), expires));
                 double top = plays.rate(plays.highestRung()) * 8000;
                 send(exchange, Playlists.multivariant(path + "/media.m3u8",
-                    Math.round(top * core.service().peak()), Math.round(top)));
+                    Math.round(top * service.peak()), Math.round(top)));
             }
         }
 
@@ -242,9 +244,9 @@
     }
 
     private String media(Session session) {
-        Service service = core.service();
-        return session.title().live() ? Playlists.live(core.clock().now(), service.segment(), service.window())
-            : Playlists.recorded(session.title().length(), service.segment());
+        Service.TitleRow title = service.titles().get(session.ask().title());
+        return title.live() ? Playlists.live(core.clock().now(), service.segment(), service.window())
+            : Playlists.recorded(title.length(), service.segment());
     }
 
     /** A segment's bytes never pass here: the player is sent to the host and rung in force at this moment. */
@@ -254,9 +256,10 @@
             return;
         }
         long number = Long.parseLong(name.substring(0, name.length() - 3));
-        long segment = core.service().segment();
-        boolean there = session.title().live() ? number <= Playlists.edge(core.clock().now(), segment)
-            : number < Playlists.segments(session.title().length(), segment);
+        Service.TitleRow title = service.titles().get(session.ask().title());
+        long segment = service.segment();
+        boolean there = title.live() ? number <= Playlists.edge(core.clock().now(), segment)
+            : number < Playlists.segments(title.length(), segment);
         if (!there) {
             problem(exchange, 404, "no such segment, or not yet", Map.of());
             return;
--- a/src/main/java/cypressvalve/host/HostClient.java
+++ b/src/main/java/cypressvalve/host/HostClient.java
@@ -12,6 +12,11 @@
         /** The host took it and plays; the report is {@link LoadReport#NONE} where none came. */
         void started(LoadReport report);
 
+        /** The same, with what the host said of the session for its viewer. */
+        default void started(LoadReport report, byte[] description) {
+            started(report);
+        }
+
         /**
          * It does not play. NOT_SENT and NO_CONNECTION are told only where no byte of it can have left; a reset
          * or a time-out after that is no proof.
@@ -32,8 +37,11 @@
         /** Link and uplink use, told on one session; NaN where not told. */
         void load(long host, String session, LoadReport report);
 
-        /** The session is over at the host. */
-        void ended(long host, String session);
+        /** The session is over at the host: OK at its end, WITHDRAWN for its viewer's or a move's sake, BROKEN if cut. */
+        void ended(long host, String session, Verdict verdict);
+
+        /** The rung in force. */
+        default void rung(long host, String session, int rung) { }
 
         /**
          * All sessions that the host carries for this gateway, told whenever listening begins (again).
@@ -60,6 +68,11 @@
     /** Ends a session at the host; repeated until the host has heard it or is gone. */
     void release(HostAddress host, String session);
 
+    /** Ends a session at the host whose viewer comes again; where the host need not know that, a release. */
+    default void move(HostAddress host, String session) {
+        release(host, session);
+    }
+
     void probe(HostAddress host, ProbeResult result);
 
     /** Asks what the host carries for this gateway; nothing where it can't be asked. */
--- a/src/main/java/cypressvalve/host/HttpHostClient.java
+++ b/src/main/java/cypressvalve/host/HttpHostClient.java
@@ -282,7 +282,7 @@
                     case "delivered" -> notes.delivered(host.id(), session, note.path("value").asDouble(1));
                     case "load" -> notes.load(host.id(), session, new LoadReport(
                         note.path("link").asDouble(Double.NaN), note.path("uplink").asDouble(Double.NaN)));
-                    case "ended" -> notes.ended(host.id(), session);
+                    case "ended" -> notes.ended(host.id(), session, Verdict.OK);
                     default -> LOG.warn("a note of an unknown sort {}", kv("host", host.id()));
                 }
             } catch (JsonProcessingException e) {
--- a/src/main/java/cypressvalve/host/SetUpOrder.java
+++ b/src/main/java/cypressvalve/host/SetUpOrder.java
@@ -10,7 +10,7 @@
  * @param maxWait nanoseconds after which the gateway no longer waits
  */
 public record SetUpOrder(String playback, int number, String title, String plan, int rung, long maxWait,
-    String about) {
+    String about, byte[] description) {
     /** The name of the try at the host. */
     public String name() {
         return playback + "." + number;
--- /dev/null
+++ b/src/main/java/cypressvalve/host/rtsp/Lifeline.java
@@ -0,0 +1,80 @@
+package cypressvalve.host.rtsp;
+
+/**
+ * Whether a media host that carries sessions still lives, as its sockets show it; free of I/O and of clocks. A process
+ * that died refuses connections, a machine that vanished lets none come up and says nothing on open ones, and one that
+ * only stands still takes connections all the same: what it carries is kept. Times are nanoseconds.
+ */
+final class Lifeline {
+    /** What is to be done now. */
+    enum Step { NOTHING, CONNECT, TEST, LOST }
+
+    /** A host that says nothing for so long is tested: two of these fit into the time in which an end must be known. */
+    private static final long SILENT = 1_500_000_000L;
+    /** Then, if no answer came, a new connection is tried: longer than a loaded host takes for a test. */
+    private static final long UNANSWERED = 1_000_000_000L;
+    /** Time from one try to the next. */
+    private static final long AGAIN = 300_000_000L;
+    /** So many tries in a row that came to nothing prove the loss: one may meet a full table, or be reset when new. */
+    private static final int FAILED_TRIES = 3;
+
+    private long heardAt;
+    private long testedAt = Long.MIN_VALUE / 2;
+    private long triedAt = Long.MIN_VALUE / 2;
+    private long provedAt = Long.MIN_VALUE / 2;
+    private boolean trying;
+    private int failed;
+    private long failedAt = Long.MIN_VALUE / 2;
+
+    Lifeline(long now) {
+        heardAt = now;
+    }
+
+    /** Bytes came from the host. */
+    void heard(long now) {
+        heardAt = now;
+        failed = 0;
+    }
+
+    /** A connection came up. */
+    void connected(long now) {
+        trying = false;
+        failed = 0;
+        provedAt = now;
+    }
+
+    /** A connection was refused, or did not come up in time. */
+    void unreached(long now) {
+        trying = false;
+        if (now - failedAt >= AGAIN) {
+            failedAt = now;
+            failed++; // Several that fail together prove no more than one.
+        }
+    }
+
+    /** @param open whether a connection to the host is open now */
+    Step step(long now, boolean open) {
+        if (failed >= FAILED_TRIES) {
+            return Step.LOST;
+        }
+        boolean due = !trying && now - triedAt >= AGAIN;
+        if (!open || failed > 0) {
+            return due ? tried(now) : Step.NOTHING;
+        }
+        long quiet = now - Math.max(heardAt, provedAt);
+        if (quiet < SILENT) {
+            return Step.NOTHING;
+        }
+        if (testedAt < heardAt || now - testedAt > SILENT + UNANSWERED) {
+            testedAt = now;
+            return Step.TEST;
+        }
+        return due && now - testedAt >= UNANSWERED ? tried(now) : Step.NOTHING;
+    }
+
+    private Step tried(long now) {
+        trying = true;
+        triedAt = now;
+        return Step.CONNECT;
+    }
+}
--- /dev/null
+++ b/src/main/java/cypressvalve/host/rtsp/Rtsp.java
@@ -0,0 +1,190 @@
+package cypressvalve.host.rtsp;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+/**
+ * One message of RTSP 1.0 (RFC 2326), as far as the platform's media hosts speak it.
+ *
+ * @param status of a response, 0 for a request
+ * @param method of a request, empty for a response
+ * @param fields by their names in lower case
+ */
+record Rtsp(int status, String method, Map<String, String> fields, byte[] body) {
+    /** Bytes that a message may have. */
+    static final int MOST = 16 * 1024;
+    private static final String VERSION = "RTSP/1.0";
+    private static final String[] METHODS = {"SETUP", "TEARDOWN", "OPTIONS", "ANNOUNCE", "REDIRECT", "SET_PARAMETER"};
+
+    /** Bytes that are no message: nothing that follows on the connection can be trusted. */
+    static final class Unreadable extends Exception {
+        private static final long serialVersionUID = 1;
+
+        Unreadable(String what) {
+            super(what, null, false, false);
+        }
+    }
+
+    String field(String name) {
+        return fields.getOrDefault(name, "");
+    }
+
+    /** The sequence number, below 0 if there is none. */
+    int sequence() {
+        String text = field("cseq");
+        return text.matches("[0-9]{1,9}") ? Integer.parseInt(text) : -1;
+    }
+
+    String session() {
+        return field("session");
+    }
+
+    /** The cause that a release gives, below 0 where it gives none. */
+    int cause() {
+        String text = field("reason");
+        return text.matches("cause=[0-9]{1,3}") ? Integer.parseInt(text.substring(6)) : -1;
+    }
+
+    /** A request; fields are given as they are written, without ends of lines. */
+    static byte[] request(String method, String address, int sequence, String session, byte[] body, String... fields) {
+        StringBuilder head = new StringBuilder(256).append(method).append(" rtsp://media/").append(address).append(' ')
+            .append(VERSION);
+        return bytes(head, sequence, session, body, fields);
+    }
+
+    static byte[] response(int status, String reason, int sequence, String session) {
+        return bytes(new StringBuilder(96).append(VERSION).append(' ').append(status).append(' ').append(reason), sequence,
+            session, null);
+    }
+
+    private static byte[] bytes(StringBuilder head, int sequence, String session, byte[] body, String... fields) {
+        head.append("\r\nCSeq: ").append(sequence).append("\r\nSession: ").append(session);
+        for (String field : fields) {
+            head.append("\r\n").append(field);
+        }
+        head.append("\r\nContent-Length: ").append(body == null ? 0 : body.length).append("\r\n\r\n");
+        byte[] start = head.toString().getBytes(StandardCharsets.UTF_8);
+        if (body == null || body.length == 0) {
+            return start;
+        }
+        byte[] all = Arrays.copyOf(start, start.length + body.length);
+        System.arraycopy(body, 0, all, start.length, body.length);
+        return all;
+    }
+
+    /** Messages out of bytes as they come. Holds no more than one message. */
+    static final class Reader {
+        private final ByteArrayOutputStream line = new ByteArrayOutputStream(128);
+        private final List<String> head = new ArrayList<>();
+        private int headBytes;
+        private Rtsp pending;
+        private int filled;
+
+        /** The next whole message, null if more bytes are needed. */
+        Rtsp next(ByteBuffer data) throws Unreadable {
+            while (data.hasRemaining()) {
+                if (pending != null) {
+                    int n = Math.min(data.remaining(), pending.body.length - filled);
+                    data.get(pending.body, filled, n);
+                    filled += n;
+                } else {
+                    take(data.get());
+                }
+                if (pending != null && filled == pending.body.length) {
+                    Rtsp whole = pending;
+                    pending = null;
+                    filled = 0;
+                    check(whole, data);
+                    return whole;
+                }
+            }
+            return null;
+        }
+
+        private void take(byte b) throws Unreadable {
+            if (++headBytes > MOST) {
+                throw new Unreadable("a head over " + MOST + " bytes");
+            }
+            if (b != '\n') {
+                if (b != '\r' && b != '\t' && (b < 32 || b == 127)) {
+                    throw new Unreadable("a byte that is no text");
+                }
+                line.write(b);
+                if (head.isEmpty() && !begins(line.toByteArray(), line.size())) {
+                    throw new Unreadable("a line that begins no message");
+                }
+                return;
+            }
+            String text = line.toString(StandardCharsets.UTF_8);
+            line.reset();
+            text = text.endsWith("\r") ? text.substring(0, text.length() - 1) : text;
+            if (!text.isEmpty()) {
+                head.add(text);
+            } else if (!head.isEmpty()) {
+                pending = message(head);
+                head.clear();
+                headBytes = 0;
+            }
+        }
+
+        /** What follows a message at once must begin another: else its length was not what it said. */
+        private static void check(Rtsp whole, ByteBuffer rest) throws Unreadable {
+            byte[] start = new byte[Math.min(9, rest.remaining())];
+            rest.get(rest.position(), start);
+            if (!begins(start, start.length)) {
+                throw new Unreadable("more bytes than Content-Length says");
+            }
+            if (whole.status > 0 && new String(whole.body, StandardCharsets.ISO_8859_1).contains("\r\n\r\n" + VERSION)) {
+                throw new Unreadable("fewer bytes than Content-Length says");
+            }
+        }
+
+        private static boolean begins(byte[] bytes, int size) {
+            String text = new String(bytes, 0, Math.min(size, 9), StandardCharsets.ISO_8859_1);
+            if (text.strip().isEmpty() || (VERSION + " ").startsWith(text)) {
+                return true;
+            }
+            for (String method : METHODS) {
+                if ((method + " ").startsWith(text) || text.startsWith(method + " ")
+                    || text.length() == 9 && (method + " ").startsWith(text)) {
+                    return true;
+                }
+            }
+            return false;
+        }
+
+        private static Rtsp message(List<String> head) throws Unreadable {
+            String[] first = head.get(0).split(" ", 3);
+            Map<String, String> fields = new HashMap<>();
+            for (String field : head.subList(1, head.size())) {
+                int colon = field.indexOf(':');
+                if (colon <= 0) {
+                    throw new Unreadable("a field without a name");
+                }
+                fields.put(field.substring(0, colon).toLowerCase(Locale.ROOT), field.substring(colon + 1).strip());
+            }
+            String length = fields.getOrDefault("content-length", "");
+            if (!length.matches("[0-9]{1,5}") || Integer.parseInt(length) > MOST) {
+                throw new Unreadable("a length of " + (length.length() > 40 ? "many digits" : length));
+            }
+            byte[] body = new byte[Integer.parseInt(length)];
+            if (first[0].equals(VERSION)) {
+                if (first.length < 2 || !first[1].matches("[1-5][0-9][0-9]")) {
+                    throw new Unreadable("a status that is none");
+                }
+                return new Rtsp(Integer.parseInt(first[1]), "", fields, body);
+            }
+            if (first.length != 3 || !first[2].equals(VERSION)) {
+                throw new Unreadable("a first line that is none");
+            }
+            return new Rtsp(0, first[0], fields, body);
+        }
+    }
+}
--- a/src/main/java/cypressvalve/lab/Baseline.java
+++ b/src/main/java/cypressvalve/lab/Baseline.java
@@ -138,7 +138,7 @@
         boolean[] left = new boolean[1];
         own[one.host()]++;
         HostClient.Call call = place.client().setUp(host.address(), new SetUpOrder(one.id, 0, ask.title(), ask.plan(),
-            rung, Math.min(plan.startup(), ask.patience()), ""), new HostClient.SetUpResult() {
+            rung, Math.min(plan.startup(), ask.patience()), "", null), new HostClient.SetUpResult() {
                 @Override
                 public void started(LoadReport report) {
                     one.plays = true;
@@ -189,7 +189,7 @@
     }
 
     @Override
-    public void ended(long host, String session) {
+    public void ended(long host, String session, Verdict verdict) {
     }
 
     @Override
--- a/src/main/java/cypressvalve/run/GatewayNode.java
+++ b/src/main/java/cypressvalve/run/GatewayNode.java
@@ -16,6 +16,7 @@
 import cypressvalve.host.HostClient;
 import cypressvalve.host.HttpHostClient;
 import cypressvalve.host.LoadReport;
+import cypressvalve.model.Verdict;
 import cypressvalve.net.HttpCaller;
 import cypressvalve.session.Clock;
 import cypressvalve.session.ClockBound;
@@ -110,7 +111,7 @@
             onFailure);
         notes.core = core;
         metrics.bind(core);
-        HttpHandler hls = new EncodingHandler(new HlsFront(core, uris, settings.uriExpiry(), tokens == null
+        HttpHandler hls = new EncodingHandler(new HlsFront(core, settings.service(), uris, settings.uriExpiry(), tokens == null
             ? null : new Door(tokens, new Terms(settings.entitlement().skew(), settings.entitlement().grace()),
                 metrics::unentitled)),
             new ContentEncodingRepository().addEncodingHandler("gzip", new GzipEncodingProvider(), 50,
@@ -216,8 +217,8 @@
         }
 
         @Override
-        public void ended(long host, String session) {
-            core.ended(host, session);
+        public void ended(long host, String session, Verdict verdict) {
+            core.ended(host, session, verdict);
         }
 
         @Override
--- /dev/null
+++ b/src/main/java/cypressvalve/run/PlatformNode.java
@@ -0,0 +1,202 @@
+package cypressvalve.run;
+
+import cypressvalve.admission.Gate;
+import cypressvalve.config.BadSettings;
+import cypressvalve.config.PlatformSettings;
+import cypressvalve.fleet.membership.ListVersion;
+import cypressvalve.fleet.stream.Change;
+import cypressvalve.fleet.stream.HostIds;
+import cypressvalve.fleet.stream.StreamFollower;
+import cypressvalve.front.signal.SignalFront;
+import cypressvalve.front.signal.Titles;
+import cypressvalve.host.HostClient;
+import cypressvalve.host.HostLimits;
+import cypressvalve.host.LoadReport;
+import cypressvalve.host.rtsp.RtspHostClient;
+import cypressvalve.model.Verdict;
+import cypressvalve.session.Clock;
+import cypressvalve.session.CoreEvents;
+import cypressvalve.session.Session;
+import cypressvalve.session.SessionCore;
+import cypressvalve.session.XnioLoop;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.random.RandomGeneratorFactory;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.Xnio;
+import org.xnio.XnioIoThread;
+import org.xnio.XnioWorker;
+import org.xnio.channels.AcceptingChannel;
+
+/** One gateway of the platform put together: one I/O thread runs the core, its front, its list and its media hosts. */
+public final class PlatformNode {
+    private static final long SECOND = 1_000_000_000L;
+    private static final int BUFFER = 16 * 1024;
+    private static final long SWEEP_MS = 250;
+    /** Parts of the descriptors: viewers hold a third at most, others that connect need room beside them. */
+    private static final double VIEWERS_PART = 0.5;
+    /** Media hosts' part; the rest is the coordinator's, files' and spare. */
+    private static final double HOSTS_PART = 0.3;
+    private static final int MOST_TO_A_HOST = 4;
+    /** Requests that wait for their answer, and sessions: far over what the platform sends, under what memory holds. */
+    private static final int MOST_OPEN = 400;
+    private static final int MOST_SESSIONS = 10_000;
+    /** A loop on a part of a core is stopped now and then for a whole period of its quota. */
+    private static final long LATE = 200_000_000L;
+    /** After the word to end: as long as the platform may still send requests, then what is open, then the rest. */
+    private static final long STILL_SENDS = 900_000_000L;
+    private static final long LONGEST = 4 * SECOND;
+
+    private final PlatformSettings settings;
+    private final XnioWorker worker;
+    private final XnioIoThread thread;
+    private final SessionCore core;
+    private final SignalFront front;
+    private final StreamFollower follower;
+    private final Consumer<String> log;
+
+    /**
+     * Makes a gateway that does not listen yet.
+     *
+     * @param log takes lines for the operator
+     * @param onFailure told once, on the loop, if its decisions fail
+     */
+    public PlatformNode(PlatformSettings settings, Consumer<String> log, Consumer<Throwable> onFailure) {
+        this.settings = settings;
+        this.log = log;
+        try {
+            worker = Xnio.getInstance().createWorker(OptionMap.builder().set(Options.WORKER_NAME, "gateway")
+                .set(Options.WORKER_IO_THREADS, 1).set(Options.WORKER_TASK_CORE_THREADS, 1)
+                .set(Options.WORKER_TASK_MAX_THREADS, 1).set(Options.STACK_SIZE, 512L * 1024)
+                .set(Options.THREAD_DAEMON, true).getMap());
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+        thread = worker.getIoThread();
+        ByteBuffer buffer = ByteBuffer.allocateDirect(BUFFER);
+        int hosts = Math.max(1, settings.control().cells);
+        int toOne = (int) Math.max(1, Math.min(MOST_TO_A_HOST, settings.sockets() * HOSTS_PART / hosts / 2));
+        Later notes = new Later();
+        RtspHostClient client = new RtspHostClient(thread, new HostLimits(settings.connectTimeout(),
+            settings.connectTimeout(), 0, toOne), settings.idle(), settings.streams(), buffer, notes);
+        follower = new StreamFollower(thread, buffer, settings.coordinator(), settings.known().path("index").asLong(),
+            settings.control().cells, settings.control().places.keySet(),
+            RandomGeneratorFactory.of("L64X128MixRandom").create(settings.seed() ^ 1),
+            version -> this.listed(version), log);
+        Clock clock = Clock.anchored();
+        core = new SessionCore(new Titles(settings.shares()), settings.control(), settings.seed(), clock,
+            new XnioLoop(thread), client, follower, MOST_SESSIONS, new Gate.Limits(MOST_OPEN, LATE), CoreEvents.NONE,
+            onFailure);
+        notes.core = core;
+        front = new SignalFront(core, settings.control(), HostIds::of, (int) (settings.sockets() * VIEWERS_PART), buffer);
+    }
+
+    /** Notes that hosts tell, handed to a core that is made after the client. */
+    private static final class Later implements HostClient.Notes {
+        private SessionCore core;
+
+        @Override
+        public void delivered(long host, String session, double share) {
+            core.delivered(host, session, share);
+        }
+
+        @Override
+        public void load(long host, String session, LoadReport report) {
+            core.load(host, session, report);
+        }
+
+        @Override
+        public void ended(long host, String session, Verdict verdict) {
+            core.ended(host, session, verdict);
+        }
+
+        @Override
+        public void rung(long host, String session, int rung) {
+            core.rung(host, session, rung);
+        }
+
+        @Override
+        public void carried(long host, Set<String> sessions, long askedAt) {
+            core.carried(host, sessions, askedAt);
+        }
+
+        @Override
+        public void lost(long host) {
+            core.lost(host);
+        }
+    }
+
+    private void listed(ListVersion version) {
+        core.listed(version.entries(), version.whole());
+    }
+
+    /** Takes in what is known, follows the coordinator and listens; throws BadSettings if what is known can't be read. */
+    public void start() throws IOException {
+        List<ListVersion> known;
+        try {
+            known = Change.known(settings.known(), settings.control().cells, settings.control().places.keySet());
+        } catch (Change.Refused e) {
+            throw new BadSettings(List.of("known." + e.getMessage()));
+        }
+        thread.execute(() -> {
+            core.start();
+            known.forEach(this::listed);
+            follower.start();
+            front.ready();
+            sweepLater();
+        });
+        AcceptingChannel<StreamConnection> server = worker.createStreamConnectionServer(settings.listen(), this::accept,
+            OptionMap.builder().set(Options.BACKLOG, 1024).set(Options.REUSE_ADDRESSES, true).set(Options.TCP_NODELAY, true)
+                .getMap());
+        server.resumeAccepts();
+    }
+
+    private void accept(AcceptingChannel<? extends StreamConnection> server) {
+        try {
+            for (StreamConnection c = server.accept(); c != null; c = server.accept()) {
+                front.accept(c);
+            }
+        } catch (IOException e) {
+            log.accept("a connection could not be taken: " + e);
+        }
+    }
+
+    private void sweepLater() {
+        thread.executeAfter(() -> {
+            front.sweep();
+            sweepLater();
+        }, SWEEP_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** The configuration was replaced: the list is read on where it says now. */
+    public void reload(PlatformSettings fresh) {
+        thread.execute(() -> follower.move(fresh.coordinator()));
+    }
+
+    /** Takes nothing new, lets what is open be answered and what plays play on, then runs the task. */
+    public void drain(Runnable done) {
+        thread.execute(() -> {
+            core.drain(() -> { });
+            long begun = core.clock().now();
+            drained(begun, done);
+        });
+    }
+
+    private void drained(long begun, Runnable done) {
+        thread.executeAfter(() -> {
+            long since = core.clock().now() - begun;
+            boolean busy = core.held(Session.State.OPENING) > 0 || core.held(Session.State.PLAYING) > 0;
+            if (since >= LONGEST || !busy && since >= STILL_SENDS) {
+                done.run();
+            } else {
+                drained(begun, done);
+            }
+        }, SWEEP_MS / 5, TimeUnit.MILLISECONDS);
+    }
+}
--- a/src/main/java/cypressvalve/session/Answer.java
+++ b/src/main/java/cypressvalve/session/Answer.java
@@ -1,6 +1,6 @@
 package cypressvalve.session;
 
-/** What a front is told of one request: exactly one of these, once, on the loop. */
+/** What a front is told of one request on the loop: exactly one of the first three, once; after playing, its end. */
 public interface Answer {
     /** It plays. */
     void playing(Session session);
@@ -10,4 +10,7 @@
 
     /** Not served, and a set-up may have run. */
     void failed();
+
+    /** What played is over; {@link Session#end} says why. */
+    default void ended(Session session) { }
 }
--- a/src/main/java/cypressvalve/session/Ask.java
+++ b/src/main/java/cypressvalve/session/Ask.java
@@ -13,17 +13,27 @@
  * @param hint a guess of how long it watches, in nanoseconds, 0 for none
  * @param patience how long it waits for the answer, in nanoseconds
  * @param grant what entitles it, null where none is needed
+ * @param offer what came with it for the media host, null where the core makes its own
  */
 public record Ask(String viewer, String title, String plan, String tenant, int ceiling, long hint, long patience,
-    Door.Grant grant) {
+    Door.Grant grant, Offer offer) {
+    /**
+     * What some protocols' viewers bring: it goes to the media host as it came.
+     *
+     * @param id the viewer's own id of the playback; none is used twice
+     * @param description what the media host is to read
+     * @param first the first cell that holds the title, of copies in a row
+     */
+    public record Offer(String id, byte[] description, int first, int copies) { }
+
     /** An ask that needs no token. */
     public Ask(String viewer, String title, String plan, String tenant, int ceiling, long hint, long patience) {
-        this(viewer, title, plan, tenant, ceiling, hint, patience, null);
+        this(viewer, title, plan, tenant, ceiling, hint, patience, null, null);
     }
 
     /** The same, entitled by a token. */
     public Ask with(Door.Grant by) {
-        return new Ask(viewer, title, plan, tenant, ceiling, hint, patience, by);
+        return new Ask(viewer, title, plan, tenant, ceiling, hint, patience, by, offer);
     }
 
     /** What a media host keeps of it, for a gateway that takes the session up anew. */
@@ -44,7 +54,7 @@
             return new Ask(URLDecoder.decode(parts[parts.length - 1], StandardCharsets.UTF_8), title, plan,
                 URLDecoder.decode(parts[2], StandardCharsets.UTF_8), Integer.parseInt(parts[0]),
                 Long.parseLong(parts[1]), 0, granted ? new Door.Grant(URLDecoder.decode(parts[3], StandardCharsets.UTF_8),
-                    Integer.parseInt(parts[4]), Long.parseLong(parts[5])) : null);
+                    Integer.parseInt(parts[4]), Long.parseLong(parts[5])) : null, null);
         } catch (IllegalArgumentException e) {
             return null;
         }
--- a/src/main/java/cypressvalve/session/Session.java
+++ b/src/main/java/cypressvalve/session/Session.java
@@ -1,6 +1,5 @@
 package cypressvalve.session;
 
-import cypressvalve.config.Service;
 import cypressvalve.host.HostAddress;
 import cypressvalve.model.Playback;
 import java.util.ArrayList;
@@ -15,9 +14,12 @@
     public enum End { REJECTED, FAILED, LEFT, SILENT, HOST_LOST, MOVED, DRAINED, EXPIRED }
 
     private final Ask ask;
-    private final Service.TitleRow title;
     final Playback playback;
     final List<Answer> waiting = new ArrayList<>();
+    /** Who is told of its end once it plays. */
+    Answer watching;
+    /** What the media host said of it, null where it said nothing. */
+    byte[] description;
     State state = State.OPENING;
     End end;
     HostAddress host;
@@ -29,9 +31,8 @@
     /** System.nanoTime() when it began to play. */
     long begunAt;
 
-    Session(Ask ask, Service.TitleRow title, Playback playback) {
+    Session(Ask ask, Playback playback) {
         this.ask = ask;
-        this.title = title;
         this.playback = playback;
         endsAt = ask.grant() == null ? Long.MAX_VALUE : ask.grant().endsAt();
     }
@@ -45,10 +46,6 @@
         return ask;
     }
 
-    public Service.TitleRow title() {
-        return title;
-    }
-
     public State state() {
         return state;
     }
@@ -58,11 +55,21 @@
         return end;
     }
 
+    /** Who is told of its end, and before it plays, who waits for its answer first; null if nobody. */
+    public Answer watching() {
+        return watching != null || waiting.isEmpty() ? watching : waiting.get(0);
+    }
+
     /** The media host in force; null until it plays. */
     public HostAddress host() {
         return host;
     }
 
+    /** What the media host said of it at its start, as it came; null where it said nothing. */
+    public byte[] description() {
+        return description;
+    }
+
     /** The rung in force. */
     public int rung() {
         return playback.rungTold;
--- a/src/main/java/cypressvalve/session/SessionCore.java
+++ b/src/main/java/cypressvalve/session/SessionCore.java
@@ -18,7 +18,6 @@
 import cypressvalve.model.Playback;
 import cypressvalve.model.Settings;
 import cypressvalve.model.SetupTry;
-import cypressvalve.model.Title;
 import cypressvalve.model.Verdict;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -42,7 +41,7 @@
     /** How often silent viewers are looked for, and the loop's delay is measured. */
     private static final long SWEEP = 500_000_000L;
 
-    private final Service service;
+    private final House house;
     private final Settings settings;
     private final Clock clock;
     private final Loop loop;
@@ -56,7 +55,6 @@
     private final Map<String, Session> sessions = new LinkedHashMap<>();
     private final Map<String, Session> byKey = new HashMap<>();
     private final Map<String, Integer> byToken = new HashMap<>();
-    private final Map<String, Title> titles = new HashMap<>();
     private final Map<Long, MediaHost> hosts = new HashMap<>();
     private final Map<Long, HostAddress> addresses = new HashMap<>();
     private final Map<SetupTry, HostClient.Call> calls = new HashMap<>();
@@ -83,7 +81,15 @@
     public SessionCore(Service service, Settings settings, long seed, Clock clock, Loop loop, HostClient client,
         ListFollower follower, int mostSessions, Gate.Limits admission, CoreEvents events,
         Consumer<Throwable> onFailure) {
-        this.service = service;
+        this(House.of(service, settings), settings, seed, clock, loop, client, follower, mostSessions, admission, events,
+            onFailure);
+    }
+
+    /** The same for any house. */
+    public SessionCore(House house, Settings settings, long seed, Clock clock, Loop loop, HostClient client,
+        ListFollower follower, int mostSessions, Gate.Limits admission, CoreEvents events,
+        Consumer<Throwable> onFailure) {
+        this.house = house;
         this.settings = settings;
         this.clock = clock;
         this.loop = loop;
@@ -93,17 +99,10 @@
         this.events = events;
         this.onFailure = onFailure;
         ids = new SessionIds(settings.me);
-        double[] shares = new double[settings.tenants.size()];
-        settings.tenants.forEach((name, number) -> shares[number] = service.tenants().get(name));
-        gate = new Gate(admission, shares, clock.now());
+        gate = new Gate(admission, house.shares(), clock.now());
         // Where no lateness counts, as in simulated time, nothing has to be looked at.
         pacing = admission.late() < Long.MAX_VALUE / 2;
         control = new Control(settings, seed, clock.now(), this);
-        service.titles().values().forEach(row -> {
-            Title title = new Title(row.key());
-            title.heldBy(row.first(), row.copies());
-            titles.put(row.key(), title);
-        });
     }
 
     /** Begins to look after timers; called once, on the loop. */
@@ -120,10 +119,6 @@
         return gate;
     }
 
-    public Service service() {
-        return service;
-    }
-
     public Clock clock() {
         return clock;
     }
@@ -181,7 +176,7 @@
         if (ask.grant() != null && byToken.getOrDefault(ask.grant().token(), 0) >= ask.grant().atOnce()) {
             // One of the others may have been left without a word: by then that is known.
             events.answered("rejected", ask.plan(), 0);
-            answer.rejected(Silence.after(service.segment()));
+            answer.rejected(house.silence());
             return null;
         }
         Gate.Refusal refusal = gate.ask(tenant(ask), clock.now());
@@ -191,9 +186,9 @@
             answer.rejected(gate.comeBackIn(clock.now()));
             return null;
         }
-        Playback pb = playback(ids.next(), ask);
+        Playback pb = playback(ask.offer() != null ? ask.offer().id() : ids.next(), ask);
         long patience = Math.max(0, ask.patience() - gate.unread(clock.now()));
-        Session session = new Session(ask, service.titles().get(ask.title()), pb);
+        Session session = new Session(ask, pb);
         session.waiting.add(answer);
         session.lastSeen = clock.now();
         keep(session);
@@ -213,7 +208,7 @@
     private Playback playback(String id, Ask ask) {
         Playback pb = new Playback(id);
         pb.plan = settings.plansByName.get(ask.plan());
-        pb.title = titles.get(ask.title());
+        pb.title = house.title(ask);
         pb.tenant = tenant(ask);
         pb.ceiling = ask.ceiling();
         pb.hint = ask.hint();
@@ -275,6 +270,9 @@
         drop(session);
         unfollow(last.host);
         events.ended(end);
+        if (session.watching != null) {
+            after.add(() -> session.watching.ended(session));
+        }
         LOG.info("session over {} {} {}", kv("playback", session.id()), kv("host", last.host.id), kv("end", end));
         input(() -> control.cameBack(last, verdict, true, Double.NaN, Double.NaN));
     }
@@ -302,11 +300,14 @@
         }
     }
 
-    /** Takes nothing new, ends what plays, lets what is open get its answer; then runs the task. */
+    /**
+     * Takes nothing new, ends what plays where the house wants that, lets what is open get its answer; runs the task
+     * once nothing is left.
+     */
     public void drain(Runnable done) {
         draining = true;
         whenEmpty = done;
-        List.copyOf(sessions.values()).stream().filter(s -> s.state == Session.State.PLAYING)
+        List.copyOf(sessions.values()).stream().filter(s -> s.state == Session.State.PLAYING && house.drainEnds())
             .forEach(s -> over(s, Session.End.DRAINED));
         if (sessions.isEmpty() && whenEmpty != null) {
             loop.execute(whenEmpty);
@@ -356,16 +357,21 @@
         String id = dot < 0 ? "" : carried.name().substring(0, dot);
         Ask ask = Ask.from(carried.about(), carried.title(), carried.plan());
         if (ask == null || !ids.mine(id) || sessions.containsKey(id) || sessions.size() >= mostSessions
-            || !titles.containsKey(ask.title()) || !settings.plansByName.containsKey(ask.plan())
+            || house.title(ask) == null || !settings.plansByName.containsKey(ask.plan())
             || ask.key() != null && byKey.containsKey(ask.key())) {
             client.release(address, carried.name());
             return;
         }
+        Session session = standing(id, ask, host, carried.name());
+        input(() -> control.rungTold(session.playback.lastTry(), carried.rung()));
+    }
+
+    private Session standing(String id, Ask ask, MediaHost host, String name) {
         Playback pb = playback(id, ask);
-        Session session = new Session(ask, service.titles().get(ask.title()), pb);
+        Session session = new Session(ask, pb);
         session.state = Session.State.PLAYING;
-        session.host = address;
-        session.hostName = carried.name();
+        session.host = addresses.get(host.id);
+        session.hostName = name;
         session.begunAt = System.nanoTime();
         session.lastSeen = clock.now();
         keep(session);
@@ -373,18 +379,43 @@
         input(() -> {
             pb.arrivedAt = pb.abandonAt = now();
             control.handedOver(pb, host);
-            control.rungTold(pb.lastTry(), carried.rung());
         });
         follow(host);
+        return session;
+    }
+
+    /**
+     * A session that plays at that host already becomes this gateway's.
+     *
+     * @param watching told of its end alone
+     * @return null if the host is not known or has gone, or the gateway holds as many as it may
+     */
+    public Session handOver(Ask ask, long hostId, Answer watching) {
+        MediaHost host = hosts.get(hostId);
+        if (closed || host == null || host.state == MediaHost.State.GONE || sessions.size() >= mostSessions) {
+            return null;
+        }
+        String id = ask.offer().id();
+        Session session = standing(id, ask, host, id + ".0");
+        session.watching = watching;
+        return session;
     }
 
     // What media hosts tell.
 
     private Session at(long host, String name) {
         int dot = name.lastIndexOf('.');
-        Session session = dot < 0 ? null : sessions.get(name.substring(0, dot));
+        Session session = sessions.get(dot < 0 ? name : name.substring(0, dot));
         return session != null && session.state == Session.State.PLAYING && session.host.id() == host
-            && session.hostSession().equals(name) ? session : null;
+            && (dot < 0 || session.hostSession().equals(name)) ? session : null;
+    }
+
+    @Override
+    public void rung(long host, String name, int rung) {
+        Session session = at(host, name);
+        if (session != null) {
+            input(() -> control.rungTold(session.playback.lastTry(), rung));
+        }
     }
 
     @Override
@@ -404,10 +435,11 @@
     }
 
     @Override
-    public void ended(long host, String name) {
+    public void ended(long host, String name, Verdict verdict) {
         Session session = at(host, name);
         if (session != null) {
-            ended(session, Session.End.SILENT, Verdict.OK);
+            ended(session, verdict == Verdict.OK ? Session.End.SILENT : verdict == Verdict.WITHDRAWN
+                ? Session.End.LEFT : Session.End.HOST_LOST, verdict);
         }
     }
 
@@ -445,13 +477,19 @@
         SetupTry setupTry = pb.lastTry();
         Session session = sessions.get(pb.id);
         SetUpOrder order = new SetUpOrder(pb.id, setupTry.number, pb.title.key, session.ask().plan(), pb.rung, maxWait,
-            session.ask().about());
+            session.ask().about(), session.ask().offer() == null ? null : session.ask().offer().description());
         HostAddress address = addresses.get(host.id);
         LOG.debug("set-up {} {} {} {}", kv("playback", pb.id), kv("try", setupTry.number), kv("host", host.id),
             kv("rung", pb.rung));
         calls.put(setupTry, client.setUp(address, order, new HostClient.SetUpResult() {
             @Override
             public void started(LoadReport report) {
+                started(report, null);
+            }
+
+            @Override
+            public void started(LoadReport report, byte[] description) {
+                session.description = description;
                 input(() -> begun(session, setupTry, address, report));
             }
 
@@ -481,6 +519,7 @@
         if (!Double.isNaN(report.link()) || !Double.isNaN(report.uplink())) {
             control.loadTold(setupTry, report.link(), report.uplink());
         }
+        session.watching = session.waiting.isEmpty() ? null : session.waiting.get(0);
         answer(session, "playing", a -> a.playing(session));
     }
 
@@ -547,7 +586,7 @@
         Session session = sessions.get(pb.id);
         if (session != null && session.state == Session.State.PLAYING) {
             after.add(() -> {
-                client.release(session.host, session.hostSession());
+                client.move(session.host, session.hostSession());
                 ended(session, Session.End.MOVED, Verdict.WITHDRAWN);
             });
         }
@@ -691,7 +730,7 @@
             List.copyOf(sessions.values()).stream().filter(s -> s.state == Session.State.PLAYING && at > s.endsAt)
                 .forEach(s -> over(s, Session.End.EXPIRED));
             List.copyOf(sessions.values()).stream().filter(s -> s.state == Session.State.PLAYING
-                && Silence.gone(s.lastSeen, at, service.segment())).forEach(s -> over(s, Session.End.SILENT));
+                && at - s.lastSeen > house.silence()).forEach(s -> over(s, Session.End.SILENT));
             sweepLater(clock.now());
         }, SWEEP);
     }
