A withdrawn set-up leaves no more; gateways start warm; late timers read first

Checked: a trace of set-ups showed ANSWER, then SETUP, then the withdrawal; counts by the second showed gate:PACE refusing up to 868 a second while 2 playbacks came in, tries TIMEOUT and NO_CONNECTION with the loop late by 117 to 417 ms. Ruled out: hand-overs (none came), Control (its order was right). Lines at fault: RtspHostClient.setUp's withdrawal was put off to a later task, so a connection that came up just then sent first; timers ran before the sockets were read on a late loop; a cold JVM on half a core; Gate.late at 200 ms. A second cause, traced once: two tries to one host on two connections were read in the wrong order (second copy).

Change: withdraw acts before it returns; net.Timer lets a late task wait one round of reads; a second try to the same host keeps to its line; a line that closes while something plays is opened anew (ends are said again on the next one); classes archived by build and a warm-up of 400 made-up set-ups before listening; the gate's late is 400 ms.

--- a/deploy/gateway.sh
+++ b/deploy/gateway.sh
@@ -8,5 +8,5 @@
 [ "$heap" -lt 10 ] && heap=10
 export MALLOC_ARENA_MAX=1
 exec java -Xms"${heap}m" -Xmx"${heap}m" -Xss512k -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:CICompilerCount=1 \
-    -XX:ReservedCodeCacheSize=16m -XX:MaxMetaspaceSize=40m -XX:MaxDirectMemorySize=6m -XX:-UsePerfData \
+    -XX:ReservedCodeCacheSize=16m -XX:MaxMetaspaceSize=40m -XX:MaxDirectMemorySize=6m -XX:SharedArchiveFile=target/cypressvalve.jsa -Xlog:disable -Xlog:all=error:stderr -XX:-UsePerfData \
     -XX:+ExitOnOutOfMemoryError -Djdk.nio.maxCachedBufferSize=16384 -cp target/cypressvalve.jar cypressvalve.Main serve
--- a/src/main/java/cypressvalve/Main.java
+++ b/src/main/java/cypressvalve/Main.java
@@ -17,6 +17,9 @@
         if (args.length == 1 && args[0].equals("serve")) {
             System.exit(Serve.run(System.getenv()));
         }
+        if (args.length == 1 && args[0].equals("serve-archive")) {
+            System.exit(Serve.archive(System.getenv()));
+        }
         int code = Commands.execute(args);
         if (code >= 0) {
             System.exit(code);
--- a/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
+++ b/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
@@ -8,6 +8,7 @@
 import cypressvalve.host.SetUpOrder;
 import cypressvalve.model.Verdict;
 import cypressvalve.net.Duplex;
+import cypressvalve.net.Timer;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
@@ -23,7 +24,6 @@
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.StreamConnection;
-import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 
 /**
@@ -40,6 +40,8 @@
     /** Words for a host that wait for a connection: more than it can carry sessions. */
     private static final int MOST_WORDS = 512;
     private static final long SWEEP_MS = 250;
+    /** A line of no use is still read for so long after its last byte: what ended is said on it. */
+    private static final long RETIRED = 1_000_000_000L;
     /** Part of the hosts' idle time after which we close first: a set-up must not cross their close. */
     private static final double IDLE_PART = 0.7;
 
@@ -109,11 +111,11 @@
         t.timer = after(order.maxWait(), () -> t.givenUp(t.sent ? Verdict.TIMEOUT : Verdict.NO_CONNECTION));
         t.line = pool(host).pick(order.playback());
         t.line.add(t);
-        return () -> thread.execute(() -> t.givenUp(t.sent ? Verdict.WITHDRAWN : Verdict.NOT_SENT));
+        return t::withdraw;
     }
 
-    private XnioExecutor.Key after(long delay, Runnable task) {
-        return thread.executeAfter(task, Math.max(1, delay / 1_000_000), TimeUnit.MILLISECONDS);
+    private Timer after(long delay, Runnable task) {
+        return Timer.after(thread, task, delay);
     }
 
     @Override
@@ -181,7 +183,7 @@
         private final SetUpResult result;
         private final long until;
         private Line line;
-        private XnioExecutor.Key timer;
+        private Timer timer;
         private boolean sent;
         private boolean done;
 
@@ -202,11 +204,21 @@
                 return false;
             }
             done = true;
-            timer.remove();
+            timer.cancel();
             line.tries.remove(order.playback(), this);
             return true;
         }
 
+        /** Guards against a set-up that leaves after its playback's answer, as its connection comes up just then. */
+        private void withdraw() {
+            if (finish()) {
+                if (sent) {
+                    line.gaveUp(order.playback());
+                }
+                thread.execute(() -> result.cameBack(sent ? Verdict.WITHDRAWN : Verdict.NOT_SENT, LoadReport.NONE));
+            }
+        }
+
         /** The host is told before anything else can be sent; a line on which it said nothing since is of no use. */
         private void givenUp(Verdict verdict) {
             if (finish()) {
@@ -232,7 +244,7 @@
         private final String id = String.format("%016x", ++tests);
         private final ProbeResult result;
         private Line line;
-        private XnioExecutor.Key timer;
+        private Timer timer;
         private boolean done;
 
         private Test(ProbeResult result) {
@@ -242,7 +254,7 @@
         private void done(Verdict verdict, LoadReport report) {
             if (!done) {
                 done = true;
-                timer.remove();
+                timer.cancel();
                 line.tests.remove(id);
                 result.probed(verdict, report);
             }
@@ -261,11 +273,17 @@
             this.address = address;
         }
 
-        /** A line for that set-up: one that carries none, else a new one, else that with the fewest. */
+        /**
+         * A line for that set-up: the one on which an earlier try was given up, as on another the end of that might be
+         * read after it; else one that carries none, else a new one, else that with the fewest.
+         */
         private Line pick(String id) {
             Line best = null;
             for (Line line : lines) {
-                if (line.usable(id) && (best == null || line.load() < best.load())) {
+                if (!line.over && line.gaveUp.contains(id)) {
+                    return line;
+                }
+                if (line.usable() && (best == null || line.load() < best.load())) {
                     best = line;
                 }
             }
@@ -297,6 +315,16 @@
             }
         }
 
+        /**
+         * What a host said last on a line that closed may be lost. It says what ended also on the next one opened: so
+         * one is, where something plays.
+         */
+        private void again() {
+            if (followed && lines.size() < limits.mostIdle() && lines.stream().allMatch(l -> l.up)) {
+                new Line(this);
+            }
+        }
+
         private void look() {
             switch (lifeline.step(System.nanoTime(), open() != null)) {
                 case CONNECT -> new Line(this);
@@ -316,14 +344,11 @@
             if (followed) {
                 look();
             }
-            int kept = 0;
             for (Line line : List.copyOf(lines)) {
-                boolean spare = line.up && line.unused() && (line.retired || now - line.usedAt > idle * IDLE_PART);
-                if (spare && followed && !line.retired && kept++ == 0) {
-                    continue;
-                }
-                if (spare) {
+                boolean spare = line.retired ? now - line.usedAt > RETIRED : !followed && now - line.usedAt > idle * IDLE_PART;
+                if (line.up && line.unused() && spare) {
                     line.close();
+                    again();
                 }
             }
             if (lines.isEmpty() && !followed && pools.get(address.id()) == this) {
@@ -348,7 +373,7 @@
         private final List<byte[]> waiting = new ArrayList<>();
         private final Rtsp.Reader reader = new Rtsp.Reader();
         private final IoFuture<StreamConnection> connecting;
-        private final XnioExecutor.Key timer;
+        private final Timer timer;
         private Duplex duplex;
         private boolean up;
         private boolean over;
@@ -371,7 +396,7 @@
         }
 
         private void opened(StreamConnection connection) {
-            timer.remove();
+            timer.cancel();
             if (over || closed) {
                 IoUtils.safeClose(connection);
                 return;
@@ -393,7 +418,7 @@
                 return;
             }
             over = true;
-            timer.remove();
+            timer.cancel();
             connecting.cancel();
             pool.lines.remove(this);
             pool.lifeline.unreached(System.nanoTime());
@@ -405,8 +430,8 @@
             }
         }
 
-        private boolean usable(String id) {
-            return !retired && !over && !tries.containsKey(id) && !gaveUp.contains(id) && tries.size() < streams
+        private boolean usable() {
+            return !retired && !over && tries.size() < streams
                 && (up || System.nanoTime() - usedAt < limits.connectTimeout() / 2);
         }
 
@@ -478,9 +503,7 @@
             over = true;
             pool.lines.remove(this);
             ended(Verdict.BROKEN);
-            if (pool.followed) {
-                pool.look();
-            }
+            pool.again();
         }
 
         @Override
@@ -496,9 +519,7 @@
             } catch (Rtsp.Unreadable e) {
                 close();
                 ended(Verdict.BROKEN);
-                if (pool.followed) {
-                    pool.look();
-                }
+                pool.again();
             }
         }
 
@@ -524,6 +545,7 @@
                 }
             } else if (message.sequence() == SET_UP && message.status() == 200) {
                 if (t.finish()) {
+                    gaveUp.remove(message.session()); // A second copy must not end what plays.
                     t.result.started(report, message.body());
                 }
             } else if (message.sequence() == SET_UP) {
--- a/src/main/java/cypressvalve/run/PlatformNode.java
+++ b/src/main/java/cypressvalve/run/PlatformNode.java
@@ -15,7 +15,6 @@
 import cypressvalve.host.rtsp.RtspHostClient;
 import cypressvalve.model.Verdict;
 import cypressvalve.session.Clock;
-import cypressvalve.session.CoreEvents;
 import cypressvalve.session.Session;
 import cypressvalve.session.SessionCore;
 import cypressvalve.session.XnioLoop;
@@ -39,6 +38,8 @@
     private static final long SECOND = 1_000_000_000L;
     private static final int BUFFER = 16 * 1024;
     private static final long SWEEP_MS = 250;
+    /** Sweeps from one line of counts to the next: ten seconds. */
+    private static final int COUNTS_EVERY = Integer.getInteger("counts", 40);
     /** Parts of the descriptors: viewers hold a third at most, others that connect need room beside them. */
     private static final double VIEWERS_PART = 0.5;
     /** Media hosts' part; the rest is the coordinator's, files' and spare. */
@@ -47,8 +48,8 @@
     /** Requests that wait for their answer, and sessions: far over what the platform sends, under what memory holds. */
     private static final int MOST_OPEN = 400;
     private static final int MOST_SESSIONS = 10_000;
-    /** A loop on a part of a core is stopped now and then for a whole period of its quota. */
-    private static final long LATE = 200_000_000L;
+    /** A loop on a part of a core is stopped now and then for a few whole periods of its quota. */
+    private static final long LATE = 400_000_000L;
     /** After the word to end: as long as the platform may still send requests, then what is open, then the rest. */
     private static final long STILL_SENDS = 900_000_000L;
     private static final long LONGEST = 4 * SECOND;
@@ -57,9 +58,12 @@
     private final XnioWorker worker;
     private final XnioIoThread thread;
     private final SessionCore core;
+    private final RtspHostClient client;
     private final SignalFront front;
     private final StreamFollower follower;
     private final Consumer<String> log;
+    private final Counts counts = new Counts();
+    private int sweeps;
 
     /**
      * Makes a gateway that does not listen yet.
@@ -83,7 +87,7 @@
         int hosts = Math.max(1, settings.control().cells);
         int toOne = (int) Math.max(1, Math.min(MOST_TO_A_HOST, settings.sockets() * HOSTS_PART / hosts / 2));
         Later notes = new Later();
-        RtspHostClient client = new RtspHostClient(thread, new HostLimits(settings.connectTimeout(),
+        client = new RtspHostClient(thread, new HostLimits(settings.connectTimeout(),
             settings.connectTimeout(), 0, toOne), settings.idle(), settings.streams(), buffer, notes);
         follower = new StreamFollower(thread, buffer, settings.coordinator(), settings.known().path("index").asLong(),
             settings.control().cells, settings.control().places.keySet(),
@@ -91,7 +95,7 @@
             version -> this.listed(version), log);
         Clock clock = Clock.anchored();
         core = new SessionCore(new Titles(settings.shares()), settings.control(), settings.seed(), clock,
-            new XnioLoop(thread), client, follower, MOST_SESSIONS, new Gate.Limits(MOST_OPEN, LATE), CoreEvents.NONE,
+            new XnioLoop(thread), client, follower, MOST_SESSIONS, new Gate.Limits(MOST_OPEN, LATE), counts,
             onFailure);
         notes.core = core;
         front = new SignalFront(core, settings.control(), HostIds::of, (int) (settings.sockets() * VIEWERS_PART), buffer);
@@ -144,6 +148,7 @@
         } catch (Change.Refused e) {
             throw new BadSettings(List.of("known." + e.getMessage()));
         }
+        WarmUp.run(settings, known);
         thread.execute(() -> {
             core.start();
             known.forEach(this::listed);
@@ -170,6 +175,11 @@
     private void sweepLater() {
         thread.executeAfter(() -> {
             front.sweep();
+            if (++sweeps % COUNTS_EVERY == 0) {
+                log.accept("playing " + core.held(Session.State.PLAYING) + " opening " + core.held(Session.State.OPENING)
+                    + " viewers' connections " + front.connections() + " hosts' " + client.connections() + " "
+                    + counts.line());
+            }
             sweepLater();
         }, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
--- a/src/main/java/cypressvalve/run/Serve.java
+++ b/src/main/java/cypressvalve/run/Serve.java
@@ -20,9 +20,7 @@
      * @return the exit code
      */
     public static int run(Map<String, String> environment) {
-        // The core logs each session; here nothing is written that comes with every request.
-        System.setProperty("slf4j.provider", "org.slf4j.helpers.NOP_FallbackServiceProvider");
-        System.setProperty("org.jboss.logging.provider", "slf4j");
+        quiet();
         try {
             String config = environment.get("NODE_CONFIG");
             if (config == null) {
@@ -39,6 +37,22 @@
         return 1;
     }
 
+    private static void quiet() {
+        // The core logs each session; here nothing is written that comes with every request.
+        System.setProperty("slf4j.provider", "org.slf4j.helpers.NOP_FallbackServiceProvider");
+        System.setProperty("slf4j.internal.verbosity", "ERROR");
+        System.setProperty("org.jboss.logging.provider", "slf4j");
+    }
+
+    /** Starts a gateway on a port of the system's and ends at once: what `build` archives the loaded classes of. */
+    public static int archive(Map<String, String> environment) throws IOException {
+        quiet();
+        PlatformNode node = new PlatformNode(PlatformSettings.read(Path.of(environment.get("NODE_CONFIG")), null), Serve::log,
+            cause -> { });
+        node.start();
+        return 0;
+    }
+
     private static int run(Path config, String listen) throws IOException, InterruptedException {
         CountDownLatch over = new CountDownLatch(1);
         AtomicInteger code = new AtomicInteger();
--- a/src/main/java/cypressvalve/session/XnioLoop.java
+++ b/src/main/java/cypressvalve/session/XnioLoop.java
@@ -1,7 +1,6 @@
 package cypressvalve.session;
 
-import java.util.concurrent.TimeUnit;
-import org.xnio.XnioExecutor;
+import cypressvalve.net.Timer;
 import org.xnio.XnioIoThread;
 
 /** The loop as one XNIO I/O thread. */
@@ -19,8 +18,6 @@
 
     @Override
     public Cancel executeAfter(Runnable task, long delay) {
-        XnioExecutor.Key key = thread.executeAfter(task, Math.max(1, (delay + 999_999) / 1_000_000),
-            TimeUnit.MILLISECONDS);
-        return key::remove;
+        return Timer.after(thread, task, delay)::cancel;
     }
 }
--- a/src/test/java/cypressvalve/ArchitectureTest.java
+++ b/src/test/java/cypressvalve/ArchitectureTest.java
@@ -23,7 +23,9 @@
         .or().haveFullyQualifiedName("cypressvalve.load.replay.Schedule")
         .or().haveFullyQualifiedName("cypressvalve.load.replay.Match")
         .or().haveFullyQualifiedName("cypressvalve.lab.Comparison")
-        .or().haveSimpleName("Silence").or().haveSimpleName("ClockBound")
+        .or().haveSimpleName("Silence").or().haveSimpleName("ClockBound").or().haveSimpleName("Lifeline")
+        .or().haveFullyQualifiedName("cypressvalve.host.rtsp.Rtsp").or().haveFullyQualifiedName("cypressvalve.front.signal.Signal")
+        .or().haveFullyQualifiedName("cypressvalve.front.signal.Wish")
         .should().dependOnClassesThat().resideInAnyPackage(IO)
         .orShould().callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis");
 
@@ -52,6 +54,13 @@
         .should().dependOnClassesThat().resideInAnyPackage("org.slf4j..", "io.undertow..", "org.xnio..", "picocli..",
             "io.micrometer..", "com.google..", "com.fasterxml.jackson.dataformat..");
 
+    @ArchTest
+    static final ArchRule THE_PLATFORMS_GATEWAY_LOADS_WHAT_IT_NEEDS = noClasses().that().resideInAnyPackage(
+        "cypressvalve.front.signal..", "cypressvalve.host.rtsp..", "cypressvalve.fleet.stream..")
+        .or().haveSimpleName("PlatformNode").or().haveSimpleName("Serve").or().haveSimpleName("Duplex")
+        .should().dependOnClassesThat().resideInAnyPackage("org.slf4j..", "io.undertow..", "picocli..",
+            "io.micrometer..", "com.google..", "com.fasterxml.jackson.dataformat..", "cypressvalve.front.hls..");
+
     @ArchTest
     static final ArchRule NO_CYCLES = slices().matching("cypressvalve.(*)..").should().beFreeOfCycles();
 }
--- /dev/null
+++ b/src/test/java/cypressvalve/host/rtsp/RtspHostClientTest.java
@@ -0,0 +1,198 @@
+package cypressvalve.host.rtsp;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cypressvalve.host.HostAddress;
+import cypressvalve.host.HostClient;
+import cypressvalve.host.HostLimits;
+import cypressvalve.host.LoadReport;
+import cypressvalve.host.SetUpOrder;
+import cypressvalve.model.Verdict;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Set;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/** The way to a media host on loopback; the host is the test itself, which reads and writes lines. */
+@Timeout(20)
+class RtspHostClientTest {
+    private static final HostLimits LIMITS = new HostLimits(2_000_000_000L, 2_000_000_000L, 0, 2);
+    private final ServerSocket server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+    private final XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
+    private final LinkedBlockingQueue<String> told = new LinkedBlockingQueue<>();
+    private final HostAddress host = new HostAddress(7, "127.0.0.1", server.getLocalPort());
+    private final RtspHostClient client = new RtspHostClient(worker.getIoThread(), LIMITS, 60_000_000_000L, 8,
+        ByteBuffer.allocate(4096), new HostClient.Notes() {
+            @Override
+            public void delivered(long id, String session, double share) {
+                told.add("delivered " + session + " " + share);
+            }
+
+            @Override
+            public void load(long id, String session, LoadReport report) {
+                told.add("load " + report.link());
+            }
+
+            @Override
+            public void ended(long id, String session, Verdict verdict) {
+                told.add("ended " + session + " " + verdict);
+            }
+
+            @Override
+            public void carried(long id, Set<String> sessions, long askedAt) { }
+
+            @Override
+            public void lost(long id) {
+                told.add("lost " + id);
+            }
+        });
+
+    RtspHostClientTest() throws IOException { }
+
+    @AfterEach
+    void stop() throws Exception {
+        onLoop(client::close);
+        worker.shutdownNow();
+        server.close();
+    }
+
+    private void onLoop(Runnable task) throws InterruptedException {
+        LinkedBlockingQueue<String> done = new LinkedBlockingQueue<>();
+        worker.getIoThread().execute(() -> {
+            task.run();
+            done.add("");
+        });
+        done.take();
+    }
+
+    private HostClient.Call setUp(String id) {
+        return client.setUp(host, new SetUpOrder(id, 0, "t", "paid", 2, 5_000_000_000L, "", "v=0\r\n".getBytes(
+            StandardCharsets.UTF_8)), new HostClient.SetUpResult() {
+                @Override
+                public void started(LoadReport report) { }
+
+                @Override
+                public void started(LoadReport report, byte[] description) {
+                    told.add("started " + id + " " + new String(description, StandardCharsets.UTF_8));
+                }
+
+                @Override
+                public void cameBack(Verdict verdict, LoadReport report) {
+                    told.add("back " + id + " " + verdict);
+                }
+            });
+    }
+
+    private static String message(BufferedReader in) throws IOException {
+        StringBuilder head = new StringBuilder();
+        int body = 0;
+        for (String line = in.readLine(); !line.isEmpty(); line = in.readLine()) {
+            head.append(line).append('\n');
+            body = line.startsWith("Content-Length: ") ? Integer.parseInt(line.substring(16)) : body;
+        }
+        for (int i = 0; i < body; i++) {
+            in.read();
+        }
+        return head.toString();
+    }
+
+    private static void say(Socket socket, String head, String body) throws IOException {
+        socket.getOutputStream().write((head + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
+            .getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static BufferedReader reader(Socket socket) throws IOException {
+        return new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+    }
+
+    @Test
+    void aSetUpItsNotesAndItsEndPassBothWays() throws Exception {
+        onLoop(() -> setUp("00000000000000aa"));
+        try (Socket socket = server.accept()) {
+            String asked = message(reader(socket));
+            assertTrue(asked.startsWith("SETUP rtsp://media/t RTSP/1.0\nCSeq: 1\nSession: 00000000000000aa\n"), asked);
+            assertTrue(asked.contains("X-Cos: paid\n") && asked.contains("X-Quality: 2\n"), asked);
+            say(socket, "RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: 00000000000000bb", "unknown");
+            say(socket, "RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: 00000000000000aa", "mine");
+            say(socket, "RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: 00000000000000aa", "mine");
+            say(socket, "ANNOUNCE rtsp://media/s RTSP/1.0\r\nSession: 00000000000000aa\r\nX-Diagnosis: served\r\nX-Reading: 0.7",
+                "");
+            say(socket, "TEARDOWN rtsp://media/s RTSP/1.0\r\nCSeq: 2\r\nSession: 00000000000000aa\r\nReason: cause=16", "");
+            assertEquals("started 00000000000000aa mine", told.take());
+            assertEquals("delivered 00000000000000aa 0.7", told.take());
+            assertEquals("ended 00000000000000aa OK", told.take());
+        }
+    }
+
+    /** An answer to the viewer may follow at once: nothing of the set-up may leave after it. */
+    @Test
+    void whatIsWithdrawnIsGivenUpAtTheHostBeforeTheCallReturns() throws Exception {
+        HostClient.Call[] call = new HostClient.Call[1];
+        onLoop(() -> call[0] = setUp("00000000000000aa"));
+        try (Socket socket = server.accept()) {
+            BufferedReader in = reader(socket);
+            message(in);
+            LinkedBlockingQueue<String> read = new LinkedBlockingQueue<>();
+            worker.getIoThread().execute(() -> {
+                call[0].withdraw();
+                try {
+                    told.add(String.valueOf(read.poll(10, TimeUnit.SECONDS))); // The loop does nothing else meanwhile.
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            });
+            read.add(message(in).split(" ")[0]);
+            assertEquals("TEARDOWN", told.take());
+            assertEquals("back 00000000000000aa WITHDRAWN", told.take());
+        }
+    }
+
+    @Test
+    void afterSpoiltBytesTriesEndBrokenAndTheNextGoesOutOnAnotherConnection() throws Exception {
+        onLoop(() -> setUp("00000000000000aa"));
+        try (Socket socket = server.accept()) {
+            message(reader(socket));
+            socket.getOutputStream().write("RTSP/1.0 200 OK\r\nContent-Length: 3000000000\r\n\r\n".getBytes(
+                StandardCharsets.UTF_8));
+            assertEquals("back 00000000000000aa BROKEN", told.take());
+        }
+        onLoop(() -> setUp("00000000000000bb"));
+        try (Socket socket = server.accept()) {
+            assertTrue(message(reader(socket)).contains("00000000000000bb"));
+        }
+        assertEquals("back 00000000000000bb BROKEN", told.take());
+    }
+
+    @Test
+    void aTryOnARefusedConnectionProvablyNeverRan() throws Exception {
+        server.close();
+        onLoop(() -> setUp("00000000000000aa"));
+        assertEquals("back 00000000000000aa NO_CONNECTION", told.take());
+    }
+
+    /** Its end was lost with the line: the host says it again on the next one. */
+    @Test
+    void whereSomethingPlaysAClosedLineIsOpenedAnew() throws Exception {
+        onLoop(() -> client.follow(host, true));
+        server.accept().close();
+        try (Socket socket = server.accept()) {
+            say(socket, "TEARDOWN rtsp://media/s RTSP/1.0\r\nCSeq: 2\r\nSession: 00000000000000aa\r\nReason: cause=41", "");
+            assertEquals("ended 00000000000000aa BROKEN", told.take());
+        }
+    }
+}
