--- a/src/main/java/cypressvalve/run/PlatformNode.java
+++ b/src/main/java/cypressvalve/run/PlatformNode.java
@@ -50,8 +50,11 @@
     private static final int MOST_SESSIONS = 10_000;
     /** A loop on a part of a core is stopped now and then for a few whole periods of its quota. */
     private static final long LATE = 400_000_000L;
-    /** After the word to end: as long as the platform may still send requests, then what is open, then the rest. */
-    private static final long STILL_SENDS = 900_000_000L;
+    /**
+     * After the word to end: as long as the platform may still send requests, then what is open, then what plays, as long
+     * as the platform lets it: the next start waits for its own time, and a cut costs viewers.
+     */
+    private static final long STILL_SENDS = 750_000_000L;
     private static final long LONGEST = 4 * SECOND;
 
     private final PlatformSettings settings;
