Lives of what is measured shrink with playbacks shorter than 40 s

Notes of delivery still come each second (trace), so their three seconds stay. Lines at fault: the absolute STEP_UP_AFTER, REPORT_LIFE, FOUND_LIFE, SMOOTHED, REPORT_AGE, SHORT_LIFE of probing. Change: life() scales them by the mean hint of the latest playbacks over 40 s, never up.

--- a/src/main/java/cypressvalve/Control.java
+++ b/src/main/java/cypressvalve/Control.java
@@ -103,7 +103,7 @@
         pb.tries.add(new SetupTry(pb, host, 0, now));
         carry(pb.lastTry());
         begin(pb);
-        pb.rungSince -= STEP_UP_AFTER / 2; // Low rungs handed over on empty links need not wait in full.
+        pb.rungSince -= life(STEP_UP_AFTER) / 2; // Low rungs handed over need not wait in full.
         host.tally(now, settings.joinShare);
     }
 
@@ -132,8 +132,8 @@
         // Reports in answers are noisy and late: taken only where no note has come; to be turned away is one.
         boolean full = verdict == Verdict.FULL && settings.fullFrom > 0;
         host.fullAt = verdict == Verdict.FULL && !full ? now : host.fullAt;
-        if (full || host.load.since(now - SHORT_LIFE) == 0) {
-            takeReport(host, full ? settings.fullFrom : link, uplink, now - REPORT_AGE);
+        if (full || host.load.since(now - life(SHORT_LIFE)) == 0) {
+            takeReport(host, full ? settings.fullFrom : link, uplink, now - life(REPORT_AGE));
         }
         blame(host, verdict, BLAMED.contains(verdict) && (!wasPlaying || verdict == Verdict.BROKEN));
         if (playing.remove(setupTry.playback)) {
@@ -154,7 +154,7 @@
     public void delivered(SetupTry setupTry, double share) {
         MediaHost host = setupTry.host;
         host.draw = chance.nextDouble();
-        host.asked.add(now - settings.noteDelay - SMOOTHED, 1 / Math.max(share, 0.05));
+        host.asked.add(now - settings.noteDelay - life(SMOOTHED), 1 / Math.max(share, 0.05));
         // An uplink is short for all behind it: a few weak links in a rack say nothing of it.
         List<MediaHost> used = host.rack.hosts.stream().filter(h -> !h.carried.isEmpty()).toList();
         long shortOnes = used.stream().filter(h -> shortLoad(h) > 0).count();
@@ -179,7 +179,7 @@
 
     public void probed(MediaHost host, Verdict verdict, double link, double uplink) {
         host.probeOut = false;
-        takeReport(host, link, uplink, now - REPORT_AGE);
+        takeReport(host, link, uplink, now - life(REPORT_AGE));
         blame(host, verdict, verdict != Verdict.OK);
         open.forEach(pb -> pb.waitUntil = Math.min(pb.waitUntil, now));
     }
@@ -341,6 +341,15 @@
 
     // Load, and the marks of the design page.
 
+    /** What is measured holds as long as told below for playbacks of 40 s and more, as it was chosen. */
+    private static final double USUAL_LENGTH = 40e9;
+    private double lengths = 1;
+
+    /** Guards against trust in what short playbacks have long undone: all lives shrink with their length. */
+    private long life(long ofUsual) {
+        return (long) (ofUsual * lengths);
+    }
+
     private static final double T_LOW = 0.6;
     private static final double T_HIGH = 0.85;
     private static final double P_MAX = 0.5;
@@ -367,7 +376,7 @@
     }
 
     private boolean known(Samples load) {
-        return load.since(now - REPORT_LIFE) > 0;
+        return load.since(now - life(REPORT_LIFE)) > 0;
     }
 
     /** The last report brought up to now by our own changes; the guess takes over as it ages. */
@@ -375,7 +384,7 @@
         if (!known(load)) {
             return guess;
         }
-        double trust = 1 - (double) (now - load.time(0)) / REPORT_LIFE;
+        double trust = 1 - (double) (now - load.time(0)) / life(REPORT_LIFE);
         double brought = load.value(0) + (own.newest() - own.at(load.time(0))) / capacity;
         return Math.max(0, trust * brought + (1 - trust) * guess);
     }
@@ -428,7 +437,8 @@
     private static final long FOUND_LIFE = 30_000_000_000L;
 
     private double rackLoad(Rack rack) {
-        double given = settings.uplink * (rack.found.since(now - FOUND_LIFE) == 0 ? 1 : rack.found.newest());
+        boolean found = rack.found.since(now - life(FOUND_LIFE)) > 0;
+        double given = settings.uplink * (found ? rack.found.newest() : 1);
         return told(rack.load, rack.own, settings.uplink, rackAsked(rack) / given);
     }
 
@@ -436,21 +446,19 @@
         return pb.plan.rates[rung] * (host.joins(pb, rung) ? settings.joinShare : 1);
     }
 
-    /**
-     * Departure: streams run out before links do where many join, and no report tells of them. A host that
-     * turned us away, other than for its link, counts as full for about a report's life: a place may free
-     * sooner, but to any of the other gateways.
-     */
-    private static final long FULL_LIFE = REPORT_LIFE;
-
     private void departs(boolean when, Departure what) {
         if (when) {
             gateway.departed(what);
         }
     }
 
+    /**
+     * Departure: streams run out before links do where many join, and no report tells of them. A host that
+     * turned us away, other than for its link, counts as full for about a report's life: a place may free
+     * sooner, but to any of the other gateways.
+     */
     private boolean full(MediaHost host) {
-        return now - host.fullAt < FULL_LIFE;
+        return now - host.fullAt < life(REPORT_LIFE);
     }
 
     /** An uplink may be fuller than a link: it sums some ten times the playbacks and swings less. */
@@ -582,7 +590,7 @@
         } else if (host == null) {
             answer(pb);
         } else if (settings.mayProbe && settings.reportsOnProbe && !pb.probed && !host.probeOut
-            && host.load.since(now - SHORT_LIFE) == 0 && now - host.probedAt > SHORT_LIFE) {
+            && host.load.since(now - life(SHORT_LIFE)) == 0 && now - host.probedAt > life(SHORT_LIFE)) {
             pb.probed = true;
             pb.waitUntil = now + PROBE_WAIT;
             ask(host);
@@ -708,6 +716,8 @@
         if (latest.size() > LATEST) {
             latest.poll();
         }
+        lengths = Math.min(1, latest.stream().mapToLong(p -> p.hint).filter(h -> h > 0).average()
+            .orElse(USUAL_LENGTH) / USUAL_LENGTH);
     }
 
     /** The playback is over, or its viewer left. */
@@ -744,7 +754,7 @@
      * the same part, so that together they take off the excess once and not once each.
      */
     private double eased(Samples load, Samples own) {
-        if (load.since(now - settings.noteDelay - SMOOTHED - SHORT_LIFE) == 0) {
+        if (load.since(now - settings.noteDelay - life(SMOOTHED) - SHORT_LIFE) == 0) {
             return 0;
         }
         double then = own.at(load.time(0));
@@ -815,8 +825,8 @@
 
     /** Whether it has been under its highest rung for long, and has time left. */
     private boolean mayWantUp(Playback pb) {
-        return pb.rung < pb.highest() && now - pb.rungSince >= STEP_UP_AFTER
-            && (pb.hint <= 0 || pb.hint - (now - pb.playingSince) > STEP_UP_AFTER);
+        return pb.rung < pb.highest() && now - pb.rungSince >= life(STEP_UP_AFTER)
+            && (pb.hint <= 0 || pb.hint - (now - pb.playingSince) > life(STEP_UP_AFTER));
     }
 
     private boolean wantsUp(Playback pb) {
@@ -825,7 +835,8 @@
 
     private List<Playback> underused() {
         List<MediaHost> low = used.stream().filter(h -> h.low > 0 && shortLoad(h) == 0).toList();
-        if (low.stream().anyMatch(h -> anyPlaying(h, this::mayWantUp))) {
+        if (low.stream().anyMatch(h -> h.carried.stream().anyMatch(
+            t -> t.playback.playing && mayWantUp(t.playback)))) {
             price(); // Looked at whenever one may want up, whatever room its host has.
         }
         Playback first = null;
@@ -840,8 +851,8 @@
             for (int i = 0; i < host.carried.size(); i++) {
                 Playback pb = host.carried.get(i).playback;
                 boolean under = pb.playing && pb.rung < pb.highest();
-                if (under && now - pb.rungSince < STEP_UP_AFTER) {
-                    next = Math.min(next, pb.rungSince + STEP_UP_AFTER);
+                if (under && now - pb.rungSince < life(STEP_UP_AFTER)) {
+                    next = Math.min(next, pb.rungSince + life(STEP_UP_AFTER));
                 }
                 if (!under || !mayWantUp(pb) || stepValue(pb, pb.rung + 1) < price
                     || pb.rung >= fairRung(pb)) {
@@ -862,20 +873,11 @@
         return chosen;
     }
 
-    private static boolean anyPlaying(MediaHost host, Predicate<Playback> wanted) {
-        for (SetupTry setupTry : host.carried) {
-            if (setupTry.playback.playing && wanted.test(setupTry.playback)) {
-                return true;
-            }
-        }
-        return false;
-    }
-
     /** Where reports come on probes only, lowest rungs would stay on empty links: one in a report's life. */
     private MediaHost unheard() {
         return !settings.mayProbe || !settings.reportsOnProbe ? null : first(playing.stream()
             .filter(pb -> pb.rung == pb.plan.floor && wantsUp(pb)).map(pb -> pb.lastTry().host).toList(),
-            h -> !h.probeOut && now - h.probedAt > REPORT_LIFE);
+            h -> !h.probeOut && now - h.probedAt > life(REPORT_LIFE));
     }
 
     private void ask(MediaHost host) {
