Hosts that are gone are let go of by Control and the core

Need: hosts are replaced under new ids for ever, and each stayed in Control's and the core's maps; links of gone hosts stood in the guess of the fleet's mean use. Change: a host that is gone and carries nothing leaves hosts, its rack and the core's addresses; under its old id it comes anew.

--- a/src/main/java/cypressvalve/Control.java
+++ b/src/main/java/cypressvalve/Control.java
@@ -73,8 +73,7 @@
 
     public void listed(List<MediaHost> named, boolean whole) {
         lists++;
-        hosts.values().stream().filter(h -> whole && !named.contains(h))
-            .forEach(h -> h.state = MediaHost.State.GONE);
+        hosts.values().forEach(h -> h.state = whole && !named.contains(h) ? MediaHost.State.GONE : h.state);
         if (linkScale <= 0 && !named.isEmpty()) {
             // Told sizes are rough one by one; their mean is known, from all links and the number of cells.
             double mean = named.stream().mapToDouble(h -> h.link).average().orElse(1);
@@ -85,6 +84,8 @@
             hosts.put(host.id, host);
             racks.computeIfAbsent(Math.floorMod(host.cell, settings.racks), Rack::new).take(host);
         }
+        hosts.values().removeIf(h -> h.state == MediaHost.State.GONE
+            && h.carried.isEmpty() && h.rack.drop(h));
     }
 
     public void listFailed() {
@@ -434,12 +435,11 @@
     }
 
     /** A weak uplink stays weak for long: what was found of it holds for about the life of a playback. */
-    private static final long FOUND_LIFE = 30_000_000_000L;
+    private static final long FOUND_FOR = 30_000_000_000L;
 
     private double rackLoad(Rack rack) {
-        boolean found = rack.found.since(now - life(FOUND_LIFE)) > 0;
-        double given = settings.uplink * (found ? rack.found.newest() : 1);
-        return told(rack.load, rack.own, settings.uplink, rackAsked(rack) / given);
+        double up = settings.uplink * (rack.found.since(now - life(FOUND_FOR)) > 0 ? rack.found.newest() : 1);
+        return told(rack.load, rack.own, settings.uplink, rackAsked(rack) / up);
     }
 
     private double added(Playback pb, MediaHost host, int rung) {
--- a/src/main/java/cypressvalve/model/Rack.java
+++ b/src/main/java/cypressvalve/model/Rack.java
@@ -23,12 +23,18 @@
 
     /** Puts the media host into this rack, out of any other. */
     public void take(MediaHost host) {
-        if (host.rack != this) {
-            if (host.rack != null) {
-                host.rack.hosts.remove(host);
-            }
+        if (host.rack != null && host.rack != this) {
+            host.rack.drop(host);
+        }
+        if (host.rack != this || !hosts.contains(host)) {
             hosts.add(host);
             host.rack = this;
         }
     }
+
+    /** Takes a media host that has gone out of this rack; true, whether or not it was in it. */
+    public boolean drop(MediaHost host) {
+        hosts.remove(host);
+        return true;
+    }
 }
--- a/src/main/java/cypressvalve/session/SessionCore.java
+++ b/src/main/java/cypressvalve/session/SessionCore.java
@@ -333,6 +333,9 @@
                 named.add(host);
             }
             control.listed(named, whole);
+            // Replaced hosts come under new ids for ever: one that is gone is let go of with the last it carried.
+            hosts.values().removeIf(h -> h.state == MediaHost.State.GONE && h.carried.isEmpty());
+            addresses.keySet().retainAll(hosts.keySet());
         });
     }
 
