--- a/src/main/java/cypressvalve/run/PlatformNode.java
+++ b/src/main/java/cypressvalve/run/PlatformNode.java
@@ -25,6 +25,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.random.RandomGeneratorFactory;
+import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.StreamConnection;
@@ -67,6 +68,7 @@
     private final Consumer<String> log;
     private final Counts counts = new Counts();
     private int sweeps;
+    private AcceptingChannel<StreamConnection> server;
 
     /**
      * Makes a gateway that does not listen yet.
@@ -159,7 +161,7 @@
             front.ready();
             sweepLater();
         });
-        AcceptingChannel<StreamConnection> server = worker.createStreamConnectionServer(settings.listen(), this::accept,
+        server = worker.createStreamConnectionServer(settings.listen(), this::accept,
             OptionMap.builder().set(Options.BACKLOG, 1024).set(Options.REUSE_ADDRESSES, true).set(Options.TCP_NODELAY, true)
                 .getMap());
         server.resumeAccepts();
@@ -187,6 +189,23 @@
         }, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
+    /** The port it listens on. */
+    public int port() {
+        return server.getLocalAddress(java.net.InetSocketAddress.class).getPort();
+    }
+
+    /** Stops at once, with no word to anybody. */
+    public void kill() {
+        IoUtils.safeClose(server);
+        thread.execute(() -> {
+            core.close();
+            front.close();
+            follower.close();
+            client.close();
+        });
+        worker.shutdown();
+    }
+
     /** The configuration was replaced: the list is read on where it says now. */
     public void reload(PlatformSettings fresh) {
         thread.execute(() -> follower.move(fresh.coordinator()));
