The core counts hosts that have gone until there are a hundred

Line at fault: SessionCore.listed pruned them before anything could count them. Change: they are let go of past a hundred; Control's own map as before.

--- a/src/main/java/cypressvalve/session/SessionCore.java
+++ b/src/main/java/cypressvalve/session/SessionCore.java
@@ -40,6 +40,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(SessionCore.class);
     /** How often silent viewers are looked for, and the loop's delay is measured. */
     private static final long SWEEP = 500_000_000L;
+    /** Hosts that have gone and are still counted, a release of a large fleet. */
+    private static final int MOST_GONE = 100;
 
     private final House house;
     private final Settings settings;
@@ -333,9 +335,11 @@
                 named.add(host);
             }
             control.listed(named, whole);
-            // Replaced hosts come under new ids for ever: one that is gone is let go of with the last it carried.
-            hosts.values().removeIf(h -> h.state == MediaHost.State.GONE && h.carried.isEmpty());
-            addresses.keySet().retainAll(hosts.keySet());
+            // Replaced hosts come under new ids for ever: those that are gone are told of, but not without end.
+            if (hosts(MediaHost.State.GONE) > MOST_GONE) {
+                hosts.values().removeIf(h -> h.state == MediaHost.State.GONE && h.carried.isEmpty());
+                addresses.keySet().retainAll(hosts.keySet());
+            }
         });
     }
 
