Both nodes share their late notes; the event reader is as it was

Seen on reading the whole change: the forwarding of notes stood twice, and event ids were read but used by nobody, as the number stands in the data too. Change: run.LaterNotes for both; EventReader as before.

--- a/src/main/java/cypressvalve/fleet/stream/StreamFollower.java
+++ b/src/main/java/cypressvalve/fleet/stream/StreamFollower.java
@@ -108,7 +108,7 @@
         }
     }
 
-    private void event(String id, String text) throws Change.Refused {
+    private void event(String text) throws Change.Refused {
         ListVersion version = Change.read(text, cells, kinds);
         if (version.version() > last) {
             last = version.version();
@@ -161,9 +161,9 @@
                 + "\r\nAccept: text/event-stream\r\nLast-Event-ID: " + last + "\r\n\r\n").getBytes(StandardCharsets.UTF_8));
         }
 
-        private void event(String id, String text) {
+        private void event(String text) {
             try {
-                StreamFollower.this.event(id, text);
+                StreamFollower.this.event(text);
                 failed = 0;
             } catch (Change.Refused e) {
                 log.accept("an event of the coordinator is refused: " + e.getMessage());
--- a/src/main/java/cypressvalve/net/EventReader.java
+++ b/src/main/java/cypressvalve/net/EventReader.java
@@ -3,32 +3,22 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
 /**
- * Server-sent events (WHATWG HTML, section 9.2) out of bytes as they come: data and id fields are looked at,
- * comments and other fields are passed over. An event larger than the bound is dropped whole.
+ * Server-sent events (WHATWG HTML, section 9.2) out of bytes as they come: only data fields are looked at, comments
+ * and other fields are passed over. An event larger than the bound is dropped whole.
  */
 public final class EventReader {
-    private final BiConsumer<String, String> events;
+    private final Consumer<String> events;
     private final int bound;
     private final ByteArrayOutputStream line = new ByteArrayOutputStream();
     private final StringBuilder data = new StringBuilder();
-    private String id = "";
     private boolean hasData;
     private boolean tooLarge;
 
     /** @param bound bytes that one event may have */
     public EventReader(int bound, Consumer<String> events) {
-        this(bound, (id, data) -> events.accept(data));
-    }
-
-    /**
-     * @param bound bytes that one event may have
-     * @param events each with the id that stands in it, empty where none does
-     */
-    public EventReader(int bound, BiConsumer<String, String> events) {
         this.bound = bound;
         this.events = events;
     }
@@ -54,14 +44,11 @@
     private void take(String text) {
         if (text.isEmpty()) {
             if (hasData && !tooLarge) {
-                events.accept(id, data.toString());
+                events.accept(data.toString());
             }
             data.setLength(0);
-            id = "";
             hasData = false;
             tooLarge = false;
-        } else if (text.startsWith("id:")) {
-            id = text.substring(3).strip();
         } else if (text.startsWith("data:")) {
             String value = text.substring(5);
             if (data.length() + value.length() > bound) {
--- a/src/main/java/cypressvalve/run/GatewayNode.java
+++ b/src/main/java/cypressvalve/run/GatewayNode.java
@@ -13,10 +13,7 @@
 import cypressvalve.fleet.membership.ListVersion;
 import cypressvalve.front.hls.HlsFront;
 import cypressvalve.front.hls.SessionUris;
-import cypressvalve.host.HostClient;
 import cypressvalve.host.HttpHostClient;
-import cypressvalve.host.LoadReport;
-import cypressvalve.model.Verdict;
 import cypressvalve.net.HttpCaller;
 import cypressvalve.session.Clock;
 import cypressvalve.session.ClockBound;
@@ -36,7 +33,6 @@
 import java.nio.file.Files;
 import java.security.GeneralSecurityException;
 import java.util.List;
-import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -103,7 +99,7 @@
         listCaller = new HttpCaller(thread, settings.hosts().connectTimeout(), 0);
         list = new ListClient(thread, listCaller, settings.list(), settings.number(),
             settings.service().fleet().cells(), settings.service().fleet().places().keySet());
-        Later notes = new Later();
+        LaterNotes notes = new LaterNotes();
         client = new HttpHostClient(thread, settings.number(), settings.hosts(), notes);
         core = new SessionCore(settings.service(),
             settings.service().control(settings.number(), settings.of(), settings.zone()), settings.seed(), clock,
@@ -202,36 +198,6 @@
         }, KEYS_LOOK_S, TimeUnit.SECONDS);
     }
 
-    /** Notes that hosts tell, handed to a core that is made after the client. */
-    private static final class Later implements HostClient.Notes {
-        private SessionCore core;
-
-        @Override
-        public void delivered(long host, String session, double share) {
-            core.delivered(host, session, share);
-        }
-
-        @Override
-        public void load(long host, String session, LoadReport report) {
-            core.load(host, session, report);
-        }
-
-        @Override
-        public void ended(long host, String session, Verdict verdict) {
-            core.ended(host, session, verdict);
-        }
-
-        @Override
-        public void carried(long host, Set<String> sessions, long askedAt) {
-            core.carried(host, sessions, askedAt);
-        }
-
-        @Override
-        public void lost(long host) {
-            core.lost(host);
-        }
-    }
-
     /** Follows the list and listens. Returns when it listens. */
     public void start() {
         thread.execute(() -> {
--- a/src/main/java/cypressvalve/run/PlatformNode.java
+++ b/src/main/java/cypressvalve/run/PlatformNode.java
@@ -9,11 +9,8 @@
 import cypressvalve.fleet.stream.StreamFollower;
 import cypressvalve.front.signal.SignalFront;
 import cypressvalve.front.signal.Titles;
-import cypressvalve.host.HostClient;
 import cypressvalve.host.HostLimits;
-import cypressvalve.host.LoadReport;
 import cypressvalve.host.rtsp.RtspHostClient;
-import cypressvalve.model.Verdict;
 import cypressvalve.session.Clock;
 import cypressvalve.session.Session;
 import cypressvalve.session.SessionCore;
@@ -21,7 +18,6 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.List;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.random.RandomGeneratorFactory;
@@ -91,7 +87,7 @@
         ByteBuffer buffer = ByteBuffer.allocateDirect(BUFFER);
         int hosts = Math.max(1, settings.control().cells);
         int toOne = (int) Math.max(1, Math.min(MOST_TO_A_HOST, settings.sockets() * HOSTS_PART / hosts / 2));
-        Later notes = new Later();
+        LaterNotes notes = new LaterNotes();
         client = new RtspHostClient(thread, new HostLimits(settings.connectTimeout(),
             settings.connectTimeout(), 0, toOne), settings.idle(), settings.streams(), buffer, notes);
         follower = new StreamFollower(thread, buffer, settings.coordinator(), settings.known().path("index").asLong(),
@@ -106,41 +102,6 @@
         front = new SignalFront(core, settings.control(), HostIds::of, (int) (settings.sockets() * VIEWERS_PART), buffer);
     }
 
-    /** Notes that hosts tell, handed to a core that is made after the client. */
-    private static final class Later implements HostClient.Notes {
-        private SessionCore core;
-
-        @Override
-        public void delivered(long host, String session, double share) {
-            core.delivered(host, session, share);
-        }
-
-        @Override
-        public void load(long host, String session, LoadReport report) {
-            core.load(host, session, report);
-        }
-
-        @Override
-        public void ended(long host, String session, Verdict verdict) {
-            core.ended(host, session, verdict);
-        }
-
-        @Override
-        public void rung(long host, String session, int rung) {
-            core.rung(host, session, rung);
-        }
-
-        @Override
-        public void carried(long host, Set<String> sessions, long askedAt) {
-            core.carried(host, sessions, askedAt);
-        }
-
-        @Override
-        public void lost(long host) {
-            core.lost(host);
-        }
-    }
-
     private void listed(ListVersion version) {
         core.listed(version.entries(), version.whole());
     }
