--- a/deploy/gateway.sh
+++ b/deploy/gateway.sh
@@ -13,7 +13,9 @@
             case $last$word in
                 '"memory_mb"'[0-9]*) mb=${word%%[!0-9]*}; break ;;
             esac
-            last=$word
+            case $word in
+                *[![:cntrl:]]*) last=$word ;; # The end of a line may have a carriage return.
+            esac
         done
     done < "$NODE_CONFIG"
     unset IFS
