--- a/src/main/java/cypressvalve/fleet/stream/Change.java
+++ b/src/main/java/cypressvalve/fleet/stream/Change.java
@@ -9,8 +9,12 @@
 import cypressvalve.model.MediaHost;
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 
 /** The coordinator's events as versions of the list; one with any fault in it is refused whole. */
 public final class Change {
@@ -40,6 +44,29 @@
         }
     }
 
+    /** What can be read of an event that was refused; nothing if not even its number can. */
+    static Optional<ListVersion> readable(String text, int cells, Set<String> kinds, Consumer<String> log) {
+        try {
+            JsonNode event = JSON.readTree(text);
+            check(event.path("index").canConvertToLong(), "index: expected a number");
+            Map<Long, ListEntry> entries = new LinkedHashMap<>();
+            int number = 0;
+            for (JsonNode i : event.path("endpoints").path("instances")) {
+                try {
+                    ListEntry entry = entry(i, "instances[" + number++ + "].", cells, kinds);
+                    entries.put(entry.address().id(), entry);
+                } catch (Refused e) {
+                    log.accept("an entry of event " + event.path("index").asLong() + " is left out: " + e.getMessage());
+                }
+            }
+            // Whoever is left out has not gone by that: what is told here changes, it does not replace.
+            return Optional.of(new ListVersion(event.path("index").asLong(), false, List.copyOf(entries.values())));
+        } catch (JsonProcessingException | Refused e) {
+            log.accept("an event is left out: it can't be read");
+            return Optional.empty();
+        }
+    }
+
     /** The versions that the configuration holds, in order; the number of the last is the configuration's. */
     public static List<ListVersion> known(JsonNode known, int cells, Set<String> kinds) throws Refused {
         check(known.path("index").canConvertToLong(), "index: expected a number");
--- a/src/main/java/cypressvalve/fleet/stream/HostIds.java
+++ b/src/main/java/cypressvalve/fleet/stream/HostIds.java
@@ -5,17 +5,13 @@
     private HostIds() {
     }
 
-    /** A number of 0 or more: the name's digits, where it ends on up to 15 of base 16 behind a dash, else a hash of it. */
+    /** A number of 0 or more, from the whole name: two hosts whose names end alike are two. */
     public static long of(String name) {
-        int dash = name.lastIndexOf('-');
-        String digits = name.substring(dash + 1);
-        if (dash >= 0 && digits.matches("[0-9a-f]{1,15}")) {
-            return Long.parseLong(digits, 16);
-        }
         long hash = 0xcbf29ce484222325L;
         for (int i = 0; i < name.length(); i++) {
             hash = (hash ^ name.charAt(i)) * 0x100000001b3L;
         }
-        return hash & Long.MAX_VALUE;
+        hash = (hash ^ hash >>> 32) * 0xBF58476D1CE4E5B9L;
+        return (hash ^ hash >>> 29) & Long.MAX_VALUE;
     }
 }
--- a/src/main/java/cypressvalve/fleet/stream/StreamFollower.java
+++ b/src/main/java/cypressvalve/fleet/stream/StreamFollower.java
@@ -25,10 +25,17 @@
 public final class StreamFollower implements ListFollower {
     /** A comment comes each second; a stream that stays open without one is read anew well inside 4 s. */
     private static final long SILENT_MS = 2_200;
+    /** One that has brought nothing behind its head is given up sooner, as it may be the second that falls silent. */
+    private static final long NOTHING_MS = 1_300;
     private static final long CONNECT_MS = 700;
-    /** The first try after a break is made at once, later ones apart: gateways must not come all together. */
+    /** Gateways that a break meets together come apart from the first try on, yet well inside the 2 s that they have. */
+    private static final long FIRST_MS = 500;
     private static final long AGAIN_MS = 150;
     private static final long AGAIN_MOST_MS = 1_000;
+    /** A stream that has lived so long is well: the next break is a first one again. */
+    private static final long WELL_MS = 2_000;
+    /** So often an event that can't be read, or one with others missing before it, is asked for anew from the last good. */
+    private static final int MOST_ANEW = 3;
     private static final int MOST_EVENT = 1 << 20;
     private static final int MOST_QUEUED = 4096;
 
@@ -43,6 +50,11 @@
     private long last;
     private Stream stream;
     private int failed;
+    /** After which number what followed could not be taken, and how often. */
+    private long stuckAt = -1;
+    private int stuck;
+    /** Numbers were found to leave some out for good. */
+    private boolean gapsAreUsual;
     private boolean closed;
 
     /**
@@ -65,16 +77,23 @@
 
     /** Begins to follow; on the thread. */
     public void start() {
-        stream = new Stream();
+        if (!closed) {
+            stream = new Stream();
+        }
     }
 
-    /** Reads on at another address; on the thread. */
+    /** Reads on at another address, on the thread: in a moment, as other gateways are told at the same time. */
     public void move(InetSocketAddress to) {
         if (!to.equals(address)) {
             address = to;
             failed = 0;
-            stream.end();
-            stream = new Stream();
+            Stream old = stream;
+            thread.executeAfter(() -> {
+                if (!closed && stream == old && old != null) {
+                    old.end();
+                    stream = new Stream();
+                }
+            }, 1 + (long) (FIRST_MS * chance.nextDouble()), TimeUnit.MILLISECONDS);
         }
     }
 
@@ -85,44 +104,85 @@
 
     @Override
     public void fetch() {
-        stream.end();
-        stream = new Stream();
+        if (stream != null && !closed) {
+            stream.end();
+            stream = new Stream();
+        }
     }
 
     /** Stops. */
     public void close() {
         closed = true;
-        stream.end();
+        if (stream != null) {
+            stream.end();
+        }
     }
 
     private void broke() {
         if (!closed) {
-            long pause = failed == 0 ? 1 : Math.min(AGAIN_MOST_MS, AGAIN_MS << Math.min(failed, 4));
+            double pause = failed == 0 ? FIRST_MS * chance.nextDouble()
+                : Math.min(AGAIN_MOST_MS, AGAIN_MS << Math.min(failed, 4)) * (0.5 + chance.nextDouble() / 2);
             failed++;
             Stream old = stream;
             thread.executeAfter(() -> {
                 if (!closed && stream == old) {
                     stream = new Stream();
                 }
-            }, 1 + (long) (pause * (0.5 + chance.nextDouble() / 2)), TimeUnit.MILLISECONDS);
+            }, 1 + (long) pause, TimeUnit.MILLISECONDS);
         }
     }
 
-    private void event(String text) throws Change.Refused {
-        ListVersion version = Change.read(text, cells, kinds);
+    /**
+     * Takes an event if none before it is missing. One that can't be taken is asked for anew, as what follows it may rest
+     * on it; what stays unreadable is taken as far as it can be read, as a gateway must not go deaf.
+     *
+     * @return whether the stream is to be read on
+     */
+    private boolean event(String text) {
+        try {
+            ListVersion version = Change.read(text, cells, kinds);
+            boolean gap = version.version() > last + 1 && !version.whole() && !gapsAreUsual;
+            if (gap && anew("numbers " + (last + 1) + " to " + (version.version() - 1) + " are missing")) {
+                return false;
+            }
+            gapsAreUsual |= gap;
+            take(version);
+        } catch (Change.Refused e) {
+            if (anew(e.getMessage())) {
+                return false;
+            }
+            Change.readable(text, cells, kinds, log).ifPresent(this::take);
+        }
+        return true;
+    }
+
+    private void take(ListVersion version) {
         if (version.version() > last) {
             last = version.version();
             taker.accept(version);
         }
     }
 
+    private boolean anew(String why) {
+        stuck = stuckAt == last ? stuck + 1 : 1;
+        stuckAt = last;
+        log.accept("an event of the coordinator after number " + last + " is refused: " + why);
+        return stuck <= MOST_ANEW;
+    }
+
     /** One connection to the coordinator. */
     private final class Stream implements Duplex.Taker {
         private final EventReader events = new EventReader(MOST_EVENT, this::event);
-        private final HttpStream http = new HttpStream(events::take);
+        private final HttpStream http = new HttpStream(body -> {
+            brought = true;
+            events.take(body);
+        });
         private final IoFuture<StreamConnection> connecting;
         private Duplex duplex;
         private long heardAt = System.nanoTime();
+        private long openedAt;
+        /** Something came behind the head. */
+        private boolean brought;
         private boolean over;
 
         private Stream() {
@@ -141,10 +201,11 @@
                 if (over) {
                     return;
                 }
-                if (duplex == null || quiet >= SILENT_MS) {
+                long most = brought ? SILENT_MS : NOTHING_MS;
+                if (duplex == null || quiet >= most) {
                     broken();
                 } else {
-                    look(SILENT_MS - quiet + 1);
+                    look(most - quiet + 1);
                 }
             }, in, TimeUnit.MILLISECONDS);
         }
@@ -154,7 +215,7 @@
                 IoUtils.safeClose(connection);
                 return;
             }
-            heardAt = System.nanoTime();
+            heardAt = openedAt = System.nanoTime();
             duplex = new Duplex(connection, buffer, MOST_QUEUED, this);
             duplex.start();
             duplex.write(("GET /v2/stream HTTP/1.1\r\nHost: " + address.getHostString() + ":" + address.getPort()
@@ -162,11 +223,8 @@
         }
 
         private void event(String text) {
-            try {
-                StreamFollower.this.event(text);
-                failed = 0;
-            } catch (Change.Refused e) {
-                log.accept("an event of the coordinator is refused: " + e.getMessage());
+            if (!over && !StreamFollower.this.event(text)) {
+                broken();
             }
         }
 
@@ -188,6 +246,7 @@
         @Override
         public void bytes(ByteBuffer data) {
             heardAt = System.nanoTime();
+            failed = heardAt - openedAt > WELL_MS * 1_000_000 ? 0 : failed;
             try {
                 http.take(data);
             } catch (HttpStream.Unreadable e) {
--- a/src/main/java/cypressvalve/front/signal/SignalFront.java
+++ b/src/main/java/cypressvalve/front/signal/SignalFront.java
@@ -3,15 +3,21 @@
 import cypressvalve.model.Settings;
 import cypressvalve.net.Duplex;
 import cypressvalve.session.Answer;
+import cypressvalve.session.Ask;
 import cypressvalve.session.Session;
 import cypressvalve.session.SessionCore;
 import java.nio.ByteBuffer;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
 import org.xnio.StreamConnection;
 
@@ -27,9 +33,14 @@
     private static final long IDLE = 6 * SECOND;
     /** An end that could not be told is kept so long: its viewer is owed it for 8 s. */
     private static final long OWED = 10 * SECOND;
+    /** An end written so long before its connection broke was read: whoever reads at all has done so by then. */
+    private static final long UNREAD = 2 * SECOND;
+    /** Other connections on which an end goes out whose own has gone: one of them may be no usual viewer's. */
+    private static final int OTHERS = 3;
     /** Set-ups that one connection may have open: several times what a busy gateway takes in a second. */
     private static final int MOST_OPEN = 256;
     private static final int MOST_QUEUED = 256 * 1024;
+    /** Ends remembered: more than a busy gateway tells in the time that they are kept. */
     private static final int MOST_OWED = 4096;
     /** Q.850: no circuit, that is no room now; a failure; a usual end. */
     private static final int NO_ROOM = 34;
@@ -42,12 +53,31 @@
     private final int mostConnections;
     private final ByteBuffer buffer;
     private final Set<Viewers> all = new LinkedHashSet<>();
-    private final ArrayDeque<Owed> owed = new ArrayDeque<>();
+    /** By session, the oldest first: ends of the last seconds, told or not. */
+    private final Map<Long, Owed> owed = new LinkedHashMap<>();
     private boolean ready;
-    private Viewers newest;
 
-    /** An end that waits for a connection. */
-    private record Owed(byte[] message, long until) { }
+    /** The end of what stood, from when its viewer is owed it until it was surely read or is owed no more. */
+    private static final class Owed {
+        private final byte[] message;
+        private final long since;
+        /** Where it was written last, and when; null where it waits for a connection. */
+        private Viewers on;
+        private long toldAt;
+        /** How many other connections it goes out on yet. */
+        private int others;
+
+        private Owed(byte[] message, long since) {
+            this.message = message;
+            this.since = since;
+        }
+
+        private void tell(Viewers viewers, long now) {
+            on = viewers;
+            toldAt = now;
+            viewers.duplex.write(message);
+        }
+    }
 
     /**
      * @param hosts a media host's number by its name
@@ -63,45 +93,53 @@
         this.buffer = buffer;
     }
 
-    /** From now on tests are passed while the core serves. */
-    public void ready() {
-        ready = true;
+    /** Whether tests are passed, while the core serves. */
+    public void ready(boolean on) {
+        ready = on;
     }
 
     /** A connection from viewers came. */
     public void accept(StreamConnection connection) {
-        if (all.size() >= mostConnections) {
-            Viewers least = null;
-            for (Viewers v : all) {
-                if (!v.heard && (least == null || least.heard) || least == null && v.idle()) {
-                    least = v;
-                }
-            }
-            if (least == null) {
-                org.xnio.IoUtils.safeClose(connection);
-                return;
-            }
-            least.close();
+        if (all.size() >= mostConnections && !evict()) {
+            org.xnio.IoUtils.safeClose(connection);
+            return;
         }
         Viewers viewers = new Viewers(connection);
         all.add(viewers);
         viewers.duplex.start();
     }
 
+    /** Closes the oldest that never said a whole message, else an idle one, but none that has just said something. */
+    private boolean evict() {
+        for (Viewers v : List.copyOf(all)) {
+            if (!v.heard && v.stillSo(o -> !o.heard)) {
+                v.end();
+                return true;
+            }
+        }
+        for (Viewers v : List.copyOf(all)) {
+            if (v.idle() && v.stillSo(Viewers::idle)) {
+                v.end();
+                return true;
+            }
+        }
+        return all.size() < mostConnections;
+    }
+
     /** Looks after connections that say nothing; called some times a second. */
     public void sweep() {
         long now = core.clock().now();
         for (Viewers v : List.copyOf(all)) {
-            boolean silent = !v.good && now - v.since > UNHEARD;
-            boolean half = v.reader.within() && now - v.lastWhole > UNHEARD && now - v.since > UNHEARD;
-            if (silent && v.open.isEmpty() || half || v.idle() && now - v.lastWhole > IDLE) {
-                v.gone();
-                v.close();
+            if (v.unheard(now) && v.stillSo(o -> o.unheard(now))) {
+                v.end();
             }
         }
-        while (!owed.isEmpty() && now > owed.peek().until) {
-            owed.poll();
-        }
+        owed.values().removeIf(o -> now - o.since > OWED);
+    }
+
+    /** Whether all answers and ends have left for the sockets. */
+    public boolean flushed() {
+        return all.stream().allMatch(v -> v.duplex.flushed()) && owed.values().stream().allMatch(o -> o.on != null);
     }
 
     /** How many connections are held. */
@@ -109,22 +147,74 @@
         return all.size();
     }
 
+    /** Takes what has come on all connections, then closes them once what they are owed has left. */
+    public void finish() {
+        for (Viewers v : List.copyOf(all)) {
+            v.duplex.readNow();
+            v.duplex.finish();
+            if (v.duplex.flushed()) {
+                all.remove(v);
+            }
+        }
+    }
+
     /** Closes all connections at once. */
     public void close() {
         List.copyOf(all).forEach(Viewers::close);
     }
 
-    /** An end goes out on its set-up's connection, else on another that usual viewers use, else as soon as one comes. */
-    private void tellEnd(Viewers first, byte[] message) {
-        Viewers to = first != null && first.duplex.isOpen() ? first : newest != null && newest.duplex.isOpen() ? newest
-            : null;
-        for (Viewers v : to == null ? all : Set.<Viewers>of()) {
-            to = v.good && v.duplex.isOpen() ? v : to;
+    /**
+     * An end goes out on its set-up's connection, else on another that usual viewers use, else as soon as one comes. It is
+     * remembered, as what is written to a connection that breaks may never be read: to be told twice harms nobody.
+     */
+    private void tellEnd(Viewers first, long id, byte[] message) {
+        long now = core.clock().now();
+        if (owed.size() >= MOST_OWED) {
+            Iterator<Owed> oldest = owed.values().iterator();
+            oldest.next();
+            oldest.remove();
+        }
+        Owed end = new Owed(message, now);
+        owed.remove(id);
+        owed.put(id, end);
+        if (first.duplex.isOpen()) {
+            end.tell(first, now);
+        } else {
+            tellElsewhere(end, now);
+        }
+    }
+
+    private void tellElsewhere(Owed end, long now) {
+        end.on = null;
+        end.others = OTHERS;
+        // Where something stands or waits there are usual viewers; the last that came are likeliest to stay.
+        List<Viewers> usual = new ArrayList<>(all.stream().filter(v -> v.good && v.duplex.isOpen()).toList());
+        Collections.reverse(usual);
+        usual.sort(Comparator.comparing(Viewers::idle));
+        for (Viewers v : usual.subList(0, Math.min(OTHERS, usual.size()))) {
+            end.others--;
+            end.tell(v, now);
+        }
+    }
+
+    /** What was written to a connection that broke goes out again, but for what was surely read. */
+    private void tellAgain(Viewers broken) {
+        long now = core.clock().now();
+        for (Owed end : List.copyOf(owed.values())) {
+            if (end.on == broken && (now - end.toldAt < UNREAD || broken.duplex.waits(end.message))) {
+                tellElsewhere(end, now);
+            }
         }
-        if (to != null) {
-            to.duplex.write(message);
-        } else if (owed.size() < MOST_OWED) {
-            owed.add(new Owed(message, core.clock().now() + OWED));
+    }
+
+    /** A connection that usual viewers use has come: what waits for one goes out. */
+    private void tellWaiting(Viewers viewers) {
+        long now = core.clock().now();
+        for (Owed end : List.copyOf(owed.values())) {
+            if (viewers.duplex.isOpen() && end.others > 0 && end.on != viewers) {
+                end.others--;
+                end.tell(viewers, now);
+            }
         }
     }
 
@@ -132,21 +222,43 @@
     private final class Viewers implements Duplex.Taker {
         private final Duplex duplex;
         private final Signal.Reader reader = new Signal.Reader();
+        /** Set-ups read in this turn: they go on once all that came was read, as their viewers may have left meanwhile. */
+        private final Map<Long, Waiting> fresh = new LinkedHashMap<>();
         private final Set<Waiting> open = new HashSet<>();
+        /** Answered here, and playing. */
+        private final Set<Waiting> standing = new HashSet<>();
         private final long since = core.clock().now();
         private long lastWhole = since;
+        private long usedAt = since;
         /** A whole message came. */
         private boolean heard;
         /** Something came that viewers or the test say. */
         private boolean good;
-        private int standing;
 
         private Viewers(StreamConnection connection) {
             duplex = new Duplex(connection, buffer, MOST_QUEUED, this);
         }
 
         private boolean idle() {
-            return open.isEmpty() && standing == 0;
+            return open.isEmpty() && standing.isEmpty();
+        }
+
+        /** It has said nothing, no end of a message, or nothing new for too long. */
+        private boolean unheard(long now) {
+            boolean silent = !good && now - since > UNHEARD;
+            boolean half = reader.within() && now - lastWhole > UNHEARD && now - since > UNHEARD;
+            return silent && open.isEmpty() || half || idle() && now - usedAt > IDLE;
+        }
+
+        /** Whether that holds after what has come by now is read: on a late loop a set-up may wait unread for long. */
+        private boolean stillSo(Predicate<Viewers> what) {
+            duplex.readNow();
+            return all.contains(this) && what.test(this);
+        }
+
+        private void end() {
+            gone(true);
+            close();
         }
 
         private void close() {
@@ -154,17 +266,26 @@
             duplex.close();
         }
 
-        /** What was open is given up with the connection. */
-        private void gone() {
+        /**
+         * What was open is given up with the connection, and so is what plays by an answer that has not left.
+         *
+         * @param broken whether what waits to be written is lost
+         */
+        private void gone(boolean broken) {
             all.remove(this);
-            for (Waiting w : new ArrayList<>(open)) {
+            fresh.clear();
+            for (Waiting w : List.copyOf(open)) {
                 w.hungUp();
             }
+            if (broken) {
+                standing.stream().filter(w -> w.said != null && duplex.waits(w.said)).toList().forEach(w -> core.end(w.session));
+                tellAgain(this);
+            }
         }
 
         @Override
         public void closed() {
-            gone();
+            gone(true);
         }
 
         @Override
@@ -173,30 +294,44 @@
                 Signal signal = reader.next(data);
                 while (signal != null && duplex.isOpen()) {
                     heard = true;
-                    lastWhole = core.clock().now();
+                    lastWhole = usedAt = core.clock().now();
                     take(signal);
                     signal = reader.next(data);
                 }
             } catch (Signal.Unreadable e) {
-                gone();
+                gone(false);
                 duplex.finish();
             }
         }
 
+        @Override
+        public void taken() {
+            List<Waiting> asked = List.copyOf(fresh.values());
+            fresh.clear();
+            asked.forEach(Waiting::ask);
+        }
+
         private void take(Signal signal) throws Signal.Unreadable {
             switch (signal.type()) {
                 case Signal.SET_UP -> setUp(signal);
                 case Signal.RELEASE -> release(signal);
+                case Signal.RELEASE_HEARD -> owed.remove(signal.session());
                 case Signal.TEST -> {
-                    good = true;
+                    usual();
                     duplex.write(Signal.message(Signal.TESTED, signal.session(), ready && core.healthy() ? 1 : 0));
                 }
-                case Signal.PROGRESS, Signal.ANSWER, Signal.RELEASE_HEARD, Signal.NOTE, Signal.MOVE, Signal.TESTED,
-                    Signal.RUNG -> { }
+                case Signal.PROGRESS, Signal.ANSWER, Signal.NOTE, Signal.MOVE, Signal.TESTED, Signal.RUNG -> { }
                 default -> throw new Signal.Unreadable("type " + signal.type());
             }
         }
 
+        private void usual() {
+            if (!good) {
+                good = true;
+                tellWaiting(this);
+            }
+        }
+
         private void setUp(Signal signal) throws Signal.Unreadable {
             Wish wish;
             try {
@@ -207,51 +342,41 @@
             }
             Session there = core.session(signal.id());
             if (wish.at() != null) {
-                good = true;
                 handOver(wish, signal, there);
-            } else if (there != null) {
+            } else if (there != null || fresh.containsKey(signal.session())) {
                 // An id is used once: who uses another's, or its own again, is no viewer.
                 throw new Signal.Unreadable("an id that is in use");
             } else if (open.size() >= MOST_OPEN) {
                 duplex.write(Signal.message(Signal.RELEASE, signal.session(), NO_ROOM));
             } else {
-                good = true;
-                newest = this;
-                flushOwed();
-                Waiting waiting = new Waiting(this, signal.session());
+                usual();
+                Waiting waiting = new Waiting(this, signal.session(), wish.ask());
                 open.add(waiting);
-                Session session = core.ask(wish.ask(), waiting);
-                waiting.session = session;
-                if (session == null) {
-                    open.remove(waiting);
-                }
-            }
-        }
-
-        private void flushOwed() {
-            while (!owed.isEmpty() && duplex.isOpen()) {
-                duplex.write(owed.poll().message());
+                fresh.put(signal.session(), waiting);
             }
         }
 
         private void handOver(Wish wish, Signal signal, Session there) {
-            newest = this;
+            usual();
             if (there != null) {
                 return;
             }
-            Waiting waiting = new Waiting(this, signal.session());
+            Waiting waiting = new Waiting(this, signal.session(), wish.ask());
             waiting.answered = true;
-            if (core.handOver(wish.ask(), hosts.applyAsLong(wish.at()), waiting) == null) {
+            standing.add(waiting);
+            waiting.session = core.handOver(wish.ask(), hosts.applyAsLong(wish.at()), waiting);
+            if (waiting.session == null) {
+                standing.remove(waiting);
                 duplex.write(Signal.message(Signal.RELEASE, signal.session(), FAILURE));
-            } else {
-                standing++;
-                waiting.stands = true;
             }
         }
 
         private void release(Signal signal) {
             Session session = core.session(signal.id());
-            if (session != null && session.state() == Session.State.PLAYING) {
+            Waiting asked = fresh.remove(signal.session());
+            if (asked != null) {
+                asked.hungUp();
+            } else if (session != null && session.state() == Session.State.PLAYING) {
                 core.end(session);
             } else if (session != null && session.watching() instanceof Waiting w) {
                 w.hungUp();
@@ -264,13 +389,27 @@
     private final class Waiting implements Answer {
         private final Viewers viewers;
         private final long id;
+        private Ask ask;
         private Session session;
         private boolean answered;
-        private boolean stands;
+        /** The answer that it plays, as written. */
+        private byte[] said;
 
-        private Waiting(Viewers viewers, long id) {
+        private Waiting(Viewers viewers, long id, Ask ask) {
             this.viewers = viewers;
             this.id = id;
+            this.ask = ask;
+        }
+
+        private void ask() {
+            if (!answered) {
+                Ask wish = ask;
+                ask = null;
+                session = core.ask(wish, this);
+                if (answered && session != null) {
+                    core.hungUp(session, this); // It left while it was asked for; after an answer this does nothing.
+                }
+            }
         }
 
         private void answer(byte[] message) {
@@ -285,18 +424,20 @@
             if (!answered) {
                 answered = true;
                 viewers.open.remove(this);
-                core.hungUp(session, this);
+                if (session != null) {
+                    core.hungUp(session, this);
+                }
             }
         }
 
         @Override
         public void playing(Session plays) {
             byte[] description = plays.description() == null ? new byte[0] : plays.description();
-            boolean late = answered;
-            answer(Signal.message(Signal.ANSWER, id, Signal.DESCRIPTION, description));
-            if (!late) {
-                stands = true;
-                viewers.standing++;
+            if (!answered) {
+                session = plays;
+                said = Signal.message(Signal.ANSWER, id, Signal.DESCRIPTION, description);
+                viewers.standing.add(this);
+                answer(said);
             }
         }
 
@@ -312,18 +453,13 @@
 
         @Override
         public void ended(Session ended) {
-            if (stands) {
-                stands = false;
-                viewers.standing--;
-            }
+            viewers.standing.remove(this);
+            viewers.usedAt = core.clock().now();
             if (ended.end() == Session.End.LEFT) {
                 return; // By its viewer's word, heard here or at the media host: it knows.
             }
-            if (ended.end() == Session.End.MOVED) {
-                tellEnd(viewers, Signal.message(Signal.MOVE, id, 0, null));
-            } else {
-                tellEnd(viewers, Signal.message(Signal.RELEASE, id, ended.end() == Session.End.HOST_LOST ? FAILURE : USUAL));
-            }
+            tellEnd(viewers, id, ended.end() == Session.End.MOVED ? Signal.message(Signal.MOVE, id, 0, null)
+                : Signal.message(Signal.RELEASE, id, ended.end() == Session.End.HOST_LOST ? FAILURE : USUAL));
         }
     }
 }
--- a/src/main/java/cypressvalve/front/signal/Titles.java
+++ b/src/main/java/cypressvalve/front/signal/Titles.java
@@ -3,8 +3,10 @@
 import cypressvalve.model.Title;
 import cypressvalve.session.Ask;
 import cypressvalve.session.House;
+import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 
 /** Titles as viewers name them, each with the cells that hold it; one that nothing is held of is forgotten in time. */
@@ -13,7 +15,11 @@
     private static final int MOST = 2000;
 
     private final double[] shares;
-    private final Map<String, Title> titles = new LinkedHashMap<>(64, 0.75f, true);
+    /** Where one title was said to lie; more is made up by somebody. */
+    private static final int MOST_PLACES = 8;
+
+    /** By name, and of each name the places told, the last one first. */
+    private final Map<String, List<Title>> titles = new LinkedHashMap<>(64, 0.75f, true);
 
     /** @param shares each tenant's, by its number in the settings */
     public Titles(double[] shares) {
@@ -25,10 +31,21 @@
         return shares;
     }
 
+    /** Guards against one viewer's word on where a title lies that another's playback of it would follow. */
     @Override
     public Title title(Ask ask) {
-        Title title = titles.computeIfAbsent(ask.title(), Title::new);
-        title.heldBy(ask.offer().first(), ask.offer().copies());
+        int first = ask.offer().first();
+        int copies = ask.offer().copies();
+        List<Title> places = titles.computeIfAbsent(ask.title(), key -> new ArrayList<>(1));
+        Title title = places.stream().filter(t -> t.first == first && t.copies == copies).findFirst().orElse(null);
+        if (title == null) {
+            title = places.isEmpty() ? new Title(ask.title()) : new Title(places.get(0));
+            title.heldBy(first, copies);
+            places.add(0, title);
+            if (places.size() > MOST_PLACES) {
+                places.remove(MOST_PLACES);
+            }
+        }
         if (titles.size() > MOST) {
             forget();
         }
@@ -36,9 +53,9 @@
     }
 
     private void forget() {
-        Iterator<Title> oldest = titles.values().iterator();
+        Iterator<List<Title>> oldest = titles.values().iterator();
         for (int left = titles.size() - MOST; left > 0 && oldest.hasNext(); left--) {
-            if (oldest.next().carried.values().stream().allMatch(n -> n == 0)) {
+            if (oldest.next().get(0).carried.values().stream().allMatch(n -> n == 0)) {
                 oldest.remove();
             }
         }
--- a/src/main/java/cypressvalve/host/HostClient.java
+++ b/src/main/java/cypressvalve/host/HostClient.java
@@ -78,6 +78,9 @@
     /** Asks what the host carries for this gateway; nothing where it can't be asked. */
     void carried(HostAddress host, java.util.function.Consumer<java.util.List<Carried>> result);
 
+    /** The list says that the host has gone, or is there again: its address may be another's by now. */
+    default void gone(HostAddress host, boolean is) { }
+
     /** Gives back idle connections. */
     void freeLinks(HostAddress host);
 
--- a/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
+++ b/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
@@ -13,11 +13,11 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.HashSet;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.xnio.IoFuture;
@@ -44,6 +44,12 @@
     private static final long RETIRED = 1_000_000_000L;
     /** Part of the hosts' idle time after which we close first: a set-up must not cross their close. */
     private static final double IDLE_PART = 0.7;
+    /** What was written so long before its line broke was read: whoever reads at all has done so by then. */
+    private static final long UNREAD = 2_000_000_000L;
+    /** A try's late or second answer is known by its line for so long; hosts are told how long we wait, which is less. */
+    private static final long PAST = 30_000_000_000L;
+    /** A line closed for want of room, where something plays, is opened again after this: ends must be heard in time. */
+    private static final long AGAIN = 3_000_000_000L;
 
     private final XnioIoThread thread;
     private final HostLimits limits;
@@ -51,6 +57,9 @@
     private final ByteBuffer buffer;
     private final long idle;
     private final int streams;
+    private final int mostLines;
+    /** Lines held to all hosts, those that are not up yet counted. */
+    private int held;
     /** By host, as long as it has connections or is followed. */
     private final Map<Long, Pool> pools = new LinkedHashMap<>();
     private long tests;
@@ -60,13 +69,16 @@
      * @param limits mostIdle is how many connections each host is given at most
      * @param idle nanoseconds after which hosts close a connection that carries nothing
      * @param streams set-ups that one connection may have open
+     * @param mostLines connections to all hosts together
      * @param buffer what is read into, shared by the thread's connections
      */
-    public RtspHostClient(XnioIoThread thread, HostLimits limits, long idle, int streams, ByteBuffer buffer, Notes notes) {
+    public RtspHostClient(XnioIoThread thread, HostLimits limits, long idle, int streams, int mostLines, ByteBuffer buffer,
+        Notes notes) {
         this.thread = thread;
         this.limits = limits;
         this.idle = idle;
         this.streams = Math.max(1, streams);
+        this.mostLines = mostLines;
         this.buffer = buffer;
         this.notes = notes;
         sweepLater();
@@ -83,7 +95,22 @@
 
     /** Connections held to all hosts. */
     public int connections() {
-        return pools.values().stream().mapToInt(p -> p.lines.size()).sum();
+        return held;
+    }
+
+    /** Whether one more line may be held; for it the longest idle one is closed, first where nothing plays. */
+    private boolean room() {
+        if (held < mostLines) {
+            return true;
+        }
+        Line least = pools.values().stream().flatMap(p -> p.lines.stream())
+            .filter(l -> l.up && l.unused() && l.duplex.flushed())
+            .min(Comparator.comparing((Line l) -> l.pool.followed).thenComparingLong(l -> l.usedAt)).orElse(null);
+        if (least != null) {
+            least.close();
+            least.pool.closedAt = System.nanoTime();
+        }
+        return least != null;
     }
 
     private Pool pool(HostAddress host) {
@@ -94,6 +121,7 @@
             pools.put(host.id(), pool);
             if (old != null) {
                 pool.followed = old.followed;
+                pool.gone = old.gone;
                 old.retire();
             }
         }
@@ -108,9 +136,13 @@
     @Override
     public Call setUp(HostAddress host, SetUpOrder order, SetUpResult result) {
         Try t = new Try(order, result);
-        t.timer = after(order.maxWait(), () -> t.givenUp(t.sent ? Verdict.TIMEOUT : Verdict.NO_CONNECTION));
+        t.timer = after(order.maxWait(), () -> t.givenUp(t.sent != null ? Verdict.TIMEOUT : Verdict.NO_CONNECTION));
         t.line = pool(host).pick(order.playback());
-        t.line.add(t);
+        if (t.line == null) {
+            thread.execute(() -> t.cameBack(Verdict.NOT_SENT, LoadReport.NONE));
+        } else {
+            t.line.add(t);
+        }
         return t::withdraw;
     }
 
@@ -120,17 +152,22 @@
 
     @Override
     public void setRung(HostAddress host, String session, int rung) {
-        pool(host).say(Rtsp.request("SET_PARAMETER", "session", 4, id(session), null, "X-Quality: " + rung));
+        pool(host).say(new Word(id(session), Rtsp.request("SET_PARAMETER", "session", 4, id(session), null,
+            "X-Quality: " + rung), false));
     }
 
     @Override
     public void release(HostAddress host, String session) {
-        pool(host).say(teardown(id(session), USUAL));
+        pool(host).say(released(id(session)));
     }
 
     @Override
     public void move(HostAddress host, String session) {
-        pool(host).say(Rtsp.request("REDIRECT", "session", 4, id(session), null));
+        pool(host).say(new Word(id(session), Rtsp.request("REDIRECT", "session", 4, id(session), null), true));
+    }
+
+    private static Word released(String id) {
+        return new Word(id, teardown(id, USUAL), true);
     }
 
     private static byte[] teardown(String id, int cause) {
@@ -144,7 +181,11 @@
         test.timer = after(limits.callTimeout(), () -> test.done(test.line == null || !test.line.up
             ? Verdict.NO_CONNECTION : Verdict.TIMEOUT, LoadReport.NONE));
         test.line = pool(host).pick(test.id);
-        test.line.ask(test, "load");
+        if (test.line == null) {
+            thread.execute(() -> test.done(Verdict.NOT_SENT, LoadReport.NONE));
+        } else {
+            test.line.ask(test, "load");
+        }
     }
 
     @Override
@@ -160,6 +201,17 @@
         }
     }
 
+    @Override
+    public void gone(HostAddress host, boolean is) {
+        Pool pool = pools.get(host.id());
+        if (pool != null && pool.gone != is) {
+            pool.gone = is;
+            if (pool.followed) {
+                pool.look();
+            }
+        }
+    }
+
     @Override
     public void follow(HostAddress host, boolean on) {
         Pool pool = pool(host);
@@ -177,6 +229,15 @@
         pools.clear();
     }
 
+    /**
+     * Something for a session at its host that wants no answer.
+     *
+     * @param ends whether it ends the session: a host that never reads it would hold the session on
+     */
+    private record Word(String session, byte[] bytes, boolean ends) { }
+
+    private record Said(Word word, long at) { }
+
     /** A set-up on its way. */
     private final class Try {
         private final SetUpOrder order;
@@ -184,7 +245,8 @@
         private final long until;
         private Line line;
         private Timer timer;
-        private boolean sent;
+        /** As written; null before. */
+        private byte[] sent;
         private boolean done;
 
         private Try(SetUpOrder order, SetUpResult result) {
@@ -205,30 +267,37 @@
             }
             done = true;
             timer.cancel();
-            line.tries.remove(order.playback(), this);
+            if (line != null) {
+                line.tries.remove(order.playback(), this);
+            }
             return true;
         }
 
+        /** Takes back what waits in the line's queue, else tells the host; whether any of it can have left. */
+        private boolean stop() {
+            boolean left = sent != null && !line.duplex.takeBack(sent);
+            if (left) {
+                line.gaveUp(order.playback());
+            }
+            return left;
+        }
+
         /** Guards against a set-up that leaves after its playback's answer, as its connection comes up just then. */
         private void withdraw() {
             if (finish()) {
-                if (sent) {
-                    line.gaveUp(order.playback());
-                }
-                thread.execute(() -> result.cameBack(sent ? Verdict.WITHDRAWN : Verdict.NOT_SENT, LoadReport.NONE));
+                Verdict verdict = stop() ? Verdict.WITHDRAWN : Verdict.NOT_SENT;
+                thread.execute(() -> result.cameBack(verdict, LoadReport.NONE));
             }
         }
 
         /** The host is told before anything else can be sent; a line on which it said nothing since is of no use. */
         private void givenUp(Verdict verdict) {
             if (finish()) {
-                if (sent) {
-                    line.gaveUp(order.playback());
-                    if (verdict == Verdict.TIMEOUT && line.heardAt < until - order.maxWait()) {
-                        line.retired = true;
-                    }
+                boolean left = stop();
+                if (left && line.heardAt < until - order.maxWait()) {
+                    line.retired = true;
                 }
-                result.cameBack(verdict, LoadReport.NONE);
+                result.cameBack(sent != null && !left ? Verdict.NOT_SENT : verdict, LoadReport.NONE);
             }
         }
 
@@ -255,7 +324,9 @@
             if (!done) {
                 done = true;
                 timer.cancel();
-                line.tests.remove(id);
+                if (line != null) {
+                    line.tests.remove(id);
+                }
                 result.probed(verdict, report);
             }
         }
@@ -265,8 +336,12 @@
     private final class Pool {
         private final HostAddress address;
         private final List<Line> lines = new ArrayList<>();
-        private final ArrayDeque<byte[]> words = new ArrayDeque<>();
+        private final ArrayDeque<Word> words = new ArrayDeque<>();
         private boolean followed;
+        /** The list says so: a connection to its address might reach another. */
+        private boolean gone;
+        /** When a line of it was closed to make room for another host's. */
+        private long closedAt = Long.MIN_VALUE / 2;
         private Lifeline lifeline = new Lifeline(System.nanoTime());
 
         private Pool(HostAddress address) {
@@ -275,22 +350,21 @@
 
         /**
          * A line for that set-up: the one on which an earlier try was given up, as on another the end of that might be
-         * read after it; else one that carries none, else a new one, else that with the fewest.
+         * read after it; not one on which an earlier try was answered, as a second copy of that answer would pass for this
+         * try's. Else one that carries none, else a new one, else that with the fewest; null if there is room for none.
          */
         private Line pick(String id) {
             Line best = null;
             for (Line line : lines) {
-                if (!line.over && line.gaveUp.contains(id)) {
+                if (!line.over && line.gaveUp.containsKey(id)) {
                     return line;
                 }
-                if (line.usable() && (best == null || line.load() < best.load())) {
+                if (line.usable() && !line.refused.containsKey(id) && (best == null || line.load() < best.load())) {
                     best = line;
                 }
             }
-            if (best == null || best.load() > 0 && lines.size() < limits.mostIdle()) {
-                best = new Line(this);
-            }
-            return best;
+            boolean more = best == null || best.load() > 0 && lines.size() < limits.mostIdle();
+            return more && room() ? new Line(this) : best;
         }
 
         private Line open() {
@@ -302,17 +376,19 @@
             return null;
         }
 
-        /** Says something that wants no answer on any line, as soon as there is one. */
-        private void say(byte[] word) {
+        /** Says something that wants no answer on any line, as soon as there is one; the line, if it is known. */
+        private Line say(Word word) {
             Line line = open();
             if (line != null) {
-                line.write(word);
-            } else if (words.size() < MOST_WORDS) {
+                line.say(word);
+            } else if (words.size() < MOST_WORDS && !gone) {
                 words.add(word);
-                if (lines.stream().allMatch(l -> l.retired)) {
+                if (lines.stream().allMatch(l -> l.retired) && room()) {
                     new Line(this);
                 }
+                line = lines.stream().filter(l -> !l.up).findFirst().orElse(null);
             }
+            return line;
         }
 
         /**
@@ -320,31 +396,52 @@
          * one is, where something plays.
          */
         private void again() {
-            if (followed && lines.size() < limits.mostIdle() && lines.stream().allMatch(l -> l.up)) {
+            if (followed && gone) {
+                look();
+            } else if (followed && lines.size() < limits.mostIdle() && lines.stream().allMatch(l -> l.up) && room()) {
                 new Line(this);
             }
         }
 
         private void look() {
-            switch (lifeline.step(System.nanoTime(), open() != null)) {
-                case CONNECT -> new Line(this);
-                case TEST -> open().ask(null, "ping");
-                case LOST -> {
-                    followed = false;
-                    words.clear();
-                    lifeline = new Lifeline(System.nanoTime());
-                    notes.lost(address.id());
+            long now = System.nanoTime();
+            Line line = open();
+            if (line == null && gone) {
+                line = lines.stream().filter(l -> l.up).findFirst().orElse(null);
+            }
+            if (line == null && now - closedAt < AGAIN) {
+                return;
+            }
+            switch (lifeline.step(now, line != null)) {
+                case CONNECT -> {
+                    if (gone) {
+                        lost(); // Whoever answers at its address now is another.
+                    } else if (room()) {
+                        new Line(this);
+                    }
                 }
+                case TEST -> line.ask(null, "ping");
+                case LOST -> lost();
                 default -> { }
             }
         }
 
+        private void lost() {
+            followed = false;
+            words.clear();
+            lifeline = new Lifeline(System.nanoTime());
+            notes.lost(address.id());
+        }
+
         private void sweep() {
             long now = System.nanoTime();
             if (followed) {
                 look();
             }
             for (Line line : List.copyOf(lines)) {
+                line.gaveUp.values().removeIf(at -> now - at > PAST);
+                line.refused.values().removeIf(at -> now - at > PAST);
+                line.said.removeIf(w -> now - w.at > UNREAD);
                 boolean spare = line.retired ? now - line.usedAt > RETIRED : !followed && now - line.usedAt > idle * IDLE_PART;
                 if (line.up && line.unused() && spare) {
                     line.close();
@@ -368,8 +465,12 @@
         private final Pool pool;
         private final Map<String, Try> tries = new LinkedHashMap<>();
         private final Map<String, Test> tests = new LinkedHashMap<>();
-        /** Set-ups given up on this line: an answer may still come. Bounded by the line's life. */
-        private final Set<String> gaveUp = new HashSet<>();
+        /** Set-ups given up on this line, and when: an answer may still come. */
+        private final Map<String, Long> gaveUp = new HashMap<>();
+        /** Set-ups that were answered here, but not to play, and when: the answer may come again. */
+        private final Map<String, Long> refused = new HashMap<>();
+        /** What ended sessions and left last: if the line breaks, it may not have been read. */
+        private final ArrayDeque<Said> said = new ArrayDeque<>();
         private final List<byte[]> waiting = new ArrayList<>();
         private final Rtsp.Reader reader = new Rtsp.Reader();
         private final IoFuture<StreamConnection> connecting;
@@ -385,6 +486,7 @@
         private Line(Pool pool) {
             this.pool = pool;
             pool.lines.add(this);
+            held++;
             connecting = thread.openStreamConnection(
                 new InetSocketAddress(pool.address.host(), pool.address.port()), this::opened, OptionMap.EMPTY);
             timer = after(limits.connectTimeout(), this::unreached);
@@ -406,7 +508,7 @@
             duplex.start();
             pool.lifeline.connected(System.nanoTime());
             while (!pool.words.isEmpty()) {
-                write(pool.words.poll());
+                say(pool.words.poll());
             }
             waiting.forEach(this::write);
             waiting.clear();
@@ -420,7 +522,7 @@
             over = true;
             timer.cancel();
             connecting.cancel();
-            pool.lines.remove(this);
+            dropped();
             pool.lifeline.unreached(System.nanoTime());
             ended(Verdict.NO_CONNECTION);
             if (pool.followed) {
@@ -451,8 +553,8 @@
         }
 
         private void send(Try t) {
-            t.sent = true;
-            write(t.message());
+            t.sent = t.message();
+            write(t.sent);
         }
 
         private void ask(Test test, String what) {
@@ -469,10 +571,42 @@
         }
 
         private void gaveUp(String id) {
-            gaveUp.add(id);
+            gaveUp.put(id, System.nanoTime());
             write(teardown(id, -1));
         }
 
+        private void say(Word word) {
+            if (word.ends) {
+                said.add(new Said(word, System.nanoTime()));
+            }
+            write(word.bytes);
+        }
+
+        private void dropped() {
+            if (pool.lines.remove(this)) {
+                held--;
+            }
+        }
+
+        /**
+         * What ends sessions and may not have been read goes out again on another line: a host that hears it twice does
+         * nothing. So does the end of a try that was given up here, as its answer may have crossed that: further tries of
+         * it then go out on that line, behind its end.
+         */
+        private void sayAgain() {
+            long now = System.nanoTime();
+            said.stream().filter(w -> now - w.at < UNREAD).forEach(w -> pool.say(w.word));
+            said.clear();
+            gaveUp.forEach((id, at) -> {
+                if (now - at < UNREAD && pool.lines.stream().noneMatch(l -> l.tries.containsKey(id))) {
+                    Line line = pool.say(released(id));
+                    if (line != null) {
+                        line.gaveUp.put(id, now);
+                    }
+                }
+            });
+        }
+
         private void write(byte[] message) {
             usedAt = System.nanoTime();
             duplex.write(message);
@@ -489,19 +623,21 @@
 
         private void close() {
             duplexClose();
-            pool.lines.remove(this);
+            dropped();
         }
 
         /** All that is open on the line ends so; what was sent may have run. */
         private void ended(Verdict verdict) {
-            List.copyOf(tries.values()).forEach(t -> t.cameBack(verdict, LoadReport.NONE));
+            List.copyOf(tries.values()).forEach(t -> t.cameBack(t.sent != null && duplex.takeBack(t.sent) ? Verdict.NOT_SENT
+                : verdict, LoadReport.NONE));
             List.copyOf(tests.values()).forEach(t -> t.done(verdict, LoadReport.NONE));
         }
 
         @Override
         public void closed() {
             over = true;
-            pool.lines.remove(this);
+            dropped();
+            sayAgain();
             ended(Verdict.BROKEN);
             pool.again();
         }
@@ -518,6 +654,7 @@
                 }
             } catch (Rtsp.Unreadable e) {
                 close();
+                sayAgain();
                 ended(Verdict.BROKEN);
                 pool.again();
             }
@@ -540,15 +677,18 @@
                     test.done(message.status() == 200 ? Verdict.OK : Verdict.ERROR, report);
                 }
             } else if (message.sequence() == SET_UP && t == null) {
-                if (message.status() == 200 && gaveUp.contains(message.session())) {
-                    write(teardown(message.session(), USUAL));
+                if (message.status() == 200 && gaveUp.containsKey(message.session())) {
+                    say(released(message.session()));
                 }
+            } else if (message.sequence() == TEARDOWN) {
+                said.removeIf(w -> w.word.session.equals(message.session()));
             } else if (message.sequence() == SET_UP && message.status() == 200) {
                 if (t.finish()) {
                     gaveUp.remove(message.session()); // A second copy must not end what plays.
                     t.result.started(report, message.body());
                 }
             } else if (message.sequence() == SET_UP) {
+                refused.put(message.session(), heardAt);
                 t.cameBack(switch (message.status()) {
                     case 453 -> Verdict.FULL;
                     case 454 -> Verdict.NOT_SENT;
--- a/src/main/java/cypressvalve/model/Title.java
+++ b/src/main/java/cypressvalve/model/Title.java
@@ -14,11 +14,20 @@
     public int listed;
 
     /** How many of this gateway's tries are out or play, and how many play, by plan. */
-    public final Map<Plan, Integer> carried = new HashMap<>();
-    public final Map<Plan, Integer> playing = new HashMap<>();
+    public final Map<Plan, Integer> carried;
+    public final Map<Plan, Integer> playing;
 
     public Title(String key) {
         this.key = key;
+        carried = new HashMap<>();
+        playing = new HashMap<>();
+    }
+
+    /** The same title as one told to lie elsewhere: its seats are counted together. */
+    public Title(Title other) {
+        key = other.key;
+        carried = other.carried;
+        playing = other.playing;
     }
 
     public void heldBy(int first, int copies) {
--- a/src/main/java/cypressvalve/net/Duplex.java
+++ b/src/main/java/cypressvalve/net/Duplex.java
@@ -19,6 +19,9 @@
         /** Takes all bytes of the buffer; it is used again afterwards. */
         void bytes(ByteBuffer data);
 
+        /** All that had come was taken, and the connection is still open: what was said is not taken back by its end. */
+        default void taken() { }
+
         /** It is closed, from whichever side; told once, and not by {@link Duplex#close}. */
         void closed();
     }
@@ -59,8 +62,16 @@
         return !closed && !closing;
     }
 
+    /** Reads what has come by now, as on a late loop it may have come long ago; not from within a taker. */
+    public void readNow() {
+        if (!closed) {
+            read(connection.getSourceChannel());
+        }
+    }
+
     private void read(StreamSourceChannel source) {
         try {
+            boolean came = false;
             for (int i = 0; i < READS && !closed; i++) {
                 buffer.clear();
                 int n = source.read(buffer);
@@ -69,13 +80,17 @@
                     return;
                 }
                 if (n == 0) {
-                    return;
+                    break;
                 }
+                came = true;
                 buffer.flip();
                 if (!closing) {
                     taker.bytes(buffer);
                 }
             }
+            if (came && isOpen()) {
+                taker.taken();
+            }
         } catch (IOException | RuntimeException e) {
             over();
         }
@@ -86,13 +101,11 @@
         if (!isOpen()) {
             return;
         }
-        if (queued + bytes.length > mostQueued) {
-            over();
-            return;
-        }
         queue.add(ByteBuffer.wrap(bytes));
         queued += bytes.length;
-        if (queue.size() == 1) {
+        if (queued > mostQueued) {
+            over();
+        } else if (queue.size() == 1) {
             flush();
         }
     }
@@ -102,6 +115,18 @@
         return queue.isEmpty();
     }
 
+    /** Whether some of these bytes, as given to {@link #write}, have not left for the socket, or had not when it closed. */
+    public boolean waits(byte[] bytes) {
+        return queue.stream().anyMatch(b -> b.array() == bytes);
+    }
+
+    /** Takes back bytes given to {@link #write}; false if any of them have left. */
+    public boolean takeBack(byte[] bytes) {
+        boolean back = queue.removeIf(b -> b.array() == bytes && b.position() == 0);
+        queued -= back ? bytes.length : 0;
+        return back;
+    }
+
     private void flush() {
         try {
             while (!queue.isEmpty()) {
@@ -133,17 +158,22 @@
     private void over() {
         if (!closed) {
             boolean told = closing;
-            close();
+            shut();
             if (!told) {
-                taker.closed();
+                taker.closed(); // What had not left can still be looked at.
             }
+            queue.clear();
         }
     }
 
+    private void shut() {
+        closed = true;
+        IoUtils.safeClose(connection);
+    }
+
     /** Closes at once, without a word to the taker. */
     public void close() {
-        closed = true;
+        shut();
         queue.clear();
-        IoUtils.safeClose(connection);
     }
 }
--- a/src/main/java/cypressvalve/run/PlatformNode.java
+++ b/src/main/java/cypressvalve/run/PlatformNode.java
@@ -48,11 +48,19 @@
     /** A loop on a part of a core is stopped now and then for a few whole periods of its quota. */
     private static final long LATE = 400_000_000L;
     /**
-     * After the word to end: as long as the platform may still send requests, then what is open, then what plays, as long
-     * as the platform lets it: the next start waits for its own time, and a cut costs viewers.
+     * After the word to end: as long as the platform may still send requests they are taken, then what is open gets its
+     * answer, then what plays plays on, as long as the platform lets it: the next start waits for its own time, and a cut
+     * costs viewers.
      */
     private static final long STILL_SENDS = 750_000_000L;
+    /** The platform kills 3.7 s after its word at the soonest where viewers wait longer: all have their answer by then. */
+    private static final long ANSWERED = 3_400_000_000L;
     private static final long LONGEST = 4 * SECOND;
+    /** What is left in write queues at the very end gets so long. */
+    private static final long LAST_WORDS = 200_000_000L;
+    /** Where no descriptor is left for a connection, the next is taken so much later: the listener would be told at once. */
+    private static final long NO_DESCRIPTOR_MS = 100;
+    private static final long COMPLAIN_EVERY = 10 * SECOND;
 
     private final PlatformSettings settings;
     private final XnioWorker worker;
@@ -64,6 +72,8 @@
     private final Consumer<String> log;
     private final Counts counts = new Counts();
     private int sweeps;
+    private boolean ending;
+    private long complainedAt = Long.MIN_VALUE / 2;
     private AcceptingChannel<StreamConnection> server;
 
     /**
@@ -89,7 +99,7 @@
         int toOne = (int) Math.max(1, Math.min(MOST_TO_A_HOST, settings.sockets() * HOSTS_PART / hosts / 2));
         LaterNotes notes = new LaterNotes();
         client = new RtspHostClient(thread, new HostLimits(settings.connectTimeout(),
-            settings.connectTimeout(), 0, toOne), settings.idle(), settings.streams(), buffer, notes);
+            settings.connectTimeout(), 0, toOne), settings.idle(), settings.streams(), (int) (settings.sockets() * HOSTS_PART), buffer, notes);
         follower = new StreamFollower(thread, buffer, settings.coordinator(), settings.known().path("index").asLong(),
             settings.control().cells, settings.control().places.keySet(),
             RandomGeneratorFactory.of("L64X128MixRandom").create(settings.seed() ^ 1),
@@ -119,7 +129,7 @@
             core.start();
             known.forEach(this::listed);
             follower.start();
-            front.ready();
+            front.ready(!ending);
             sweepLater();
         });
         server = worker.createStreamConnectionServer(settings.listen(), this::accept,
@@ -134,7 +144,13 @@
                 front.accept(c);
             }
         } catch (IOException e) {
-            log.accept("a connection could not be taken: " + e);
+            long now = System.nanoTime();
+            if (now - complainedAt > COMPLAIN_EVERY) {
+                complainedAt = now;
+                log.accept("a connection could not be taken: " + e);
+            }
+            server.suspendAccepts();
+            thread.executeAfter(server::resumeAccepts, NO_DESCRIPTOR_MS, TimeUnit.MILLISECONDS);
         }
     }
 
@@ -167,29 +183,61 @@
         worker.shutdown();
     }
 
+    /** Runs a task on the loop; for tests, which hold the loop up by it. */
+    void onLoop(Runnable task) {
+        thread.execute(task);
+    }
+
     /** The configuration was replaced: the list is read on where it says now. */
     public void reload(PlatformSettings fresh) {
         thread.execute(() -> follower.move(fresh.coordinator()));
     }
 
-    /** Takes nothing new, lets what is open be answered and what plays play on, then runs the task. */
+    /**
+     * Fails tests from now on, takes requests as long as the platform sends them, lets what is open be answered and what
+     * plays play on, then runs the task once, whatever else is said meanwhile.
+     */
     public void drain(Runnable done) {
         thread.execute(() -> {
-            core.drain(() -> { });
-            long begun = core.clock().now();
-            drained(begun, done);
+            if (!ending) {
+                ending = true;
+                front.ready(false);
+                drained(core.clock().now(), done);
+            }
         });
     }
 
     private void drained(long begun, Runnable done) {
         thread.executeAfter(() -> {
             long since = core.clock().now() - begun;
-            boolean busy = core.held(Session.State.OPENING) > 0 || core.held(Session.State.PLAYING) > 0;
+            if (since >= STILL_SENDS && core.healthy()) {
+                core.drain(() -> { });
+                core.answerBy(begun + ANSWERED);
+            }
+            boolean busy = core.held(Session.State.OPENING) > 0 || core.held(Session.State.PLAYING) > 0 || !front.flushed();
             if (since >= LONGEST || !busy && since >= STILL_SENDS) {
-                done.run();
+                lastWords(done);
             } else {
                 drained(begun, done);
             }
         }, SWEEP_MS / 5, TimeUnit.MILLISECONDS);
     }
+
+    /** What has come unread is refused, and nothing is left in a write queue: a process that ends takes it along. */
+    private void lastWords(Runnable done) {
+        if (server != null) {
+            accept(server);
+            IoUtils.safeClose(server);
+        }
+        front.finish();
+        lastWords(core.clock().now() + LAST_WORDS, done);
+    }
+
+    private void lastWords(long until, Runnable done) {
+        if (front.connections() == 0 || core.clock().now() >= until) {
+            done.run();
+        } else {
+            thread.executeAfter(() -> lastWords(until, done), 5, TimeUnit.MILLISECONDS);
+        }
+    }
 }
--- a/src/main/java/cypressvalve/session/SessionCore.java
+++ b/src/main/java/cypressvalve/session/SessionCore.java
@@ -42,6 +42,8 @@
     private static final long SWEEP = 500_000_000L;
     /** Hosts that have gone and are still counted, a release of a large fleet. */
     private static final int MOST_GONE = 100;
+    /** Ends kept that came before their session: what a gateway held when it was ended. */
+    private static final int MOST_ENDS_BEFORE = 512;
 
     private final House house;
     private final Settings settings;
@@ -61,6 +63,18 @@
     private final Map<Long, HostAddress> addresses = new HashMap<>();
     private final Map<SetupTry, HostClient.Call> calls = new HashMap<>();
     private final Map<Long, Integer> playingAt = new HashMap<>();
+    /**
+     * Ends told of sessions that are not here, the last few: a host says what ended before this gateway's start as soon as
+     * a connection comes up, and that may be before the front hands the session over.
+     */
+    private final Map<String, Verdict> endsBefore = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Verdict> eldest) {
+            return size() > MOST_ENDS_BEFORE;
+        }
+    };
     private final ArrayDeque<Runnable> after = new ArrayDeque<>();
     private final ArrayDeque<Runnable> inputs = new ArrayDeque<>();
     private boolean deciding;
@@ -317,13 +331,22 @@
         }
     }
 
+    /** Whoever waits for an answer gets it by that time: this process may be ended soon after. */
+    public void answerBy(long time) {
+        input(() -> sessions.values().stream().filter(s -> s.state == Session.State.OPENING)
+            .forEach(s -> s.playback.abandonAt = Math.min(s.playback.abandonAt, time)));
+    }
+
     /** A list of media hosts came: all of them, or what has changed. */
     public void listed(Collection<ListEntry> entries, boolean whole) {
         input(() -> {
             List<MediaHost> named = new ArrayList<>(entries.size());
             for (ListEntry entry : entries) {
-                addresses.put(entry.address().id(), entry.address());
+                HostAddress before = addresses.put(entry.address().id(), entry.address());
                 MediaHost host = hosts.computeIfAbsent(entry.address().id(), MediaHost::new);
+                if (before != null && (!before.equals(entry.address()) || entry.startedAt() > host.startedAt)) {
+                    cut(host, entry.startedAt(), !before.equals(entry.address()));
+                }
                 host.state = entry.state();
                 host.rating = entry.weight();
                 host.startedAt = entry.startedAt();
@@ -335,6 +358,7 @@
                 named.add(host);
             }
             control.listed(named, whole);
+            addresses.forEach((id, address) -> client.gone(address, hosts.get(id).state == MediaHost.State.GONE));
             // Replaced hosts come under new ids for ever: those that are gone are told of, but not without end.
             if (hosts(MediaHost.State.GONE) > MOST_GONE) {
                 hosts.values().removeIf(h -> h.state == MediaHost.State.GONE && h.carried.isEmpty());
@@ -343,6 +367,12 @@
         });
     }
 
+    /** Guards against sessions of a process that has died unseen: what began before a host's start does not play there. */
+    private void cut(MediaHost host, long startedAt, boolean moved) {
+        List.copyOf(sessions.values()).stream().filter(s -> s.state == Session.State.PLAYING && s.host.id() == host.id
+            && (moved || s.playback.playingSince < startedAt)).forEach(s -> ended(s, Session.End.HOST_LOST, Verdict.BROKEN));
+    }
+
     /** The source of the list failed to answer. */
     public void listFailed() {
         input(control::listFailed);
@@ -405,6 +435,10 @@
         String id = ask.offer().id();
         Session session = standing(id, ask, host, id + ".0");
         session.watching = watching;
+        Verdict over = endsBefore.remove(id);
+        if (over != null) {
+            ended(host.id, id, over);
+        }
         return session;
     }
 
@@ -444,7 +478,9 @@
     @Override
     public void ended(long host, String name, Verdict verdict) {
         Session session = at(host, name);
-        if (session != null) {
+        if (session == null && !sessions.containsKey(name)) {
+            endsBefore.put(name, verdict);
+        } else if (session != null) {
             ended(session, verdict == Verdict.OK ? Session.End.SILENT : verdict == Verdict.WITHDRAWN
                 ? Session.End.LEFT : Session.End.HOST_LOST, verdict);
         }
--- a/src/test/java/cypressvalve/host/rtsp/RtspHostClientTest.java
+++ b/src/test/java/cypressvalve/host/rtsp/RtspHostClientTest.java
@@ -32,12 +32,13 @@
 @Timeout(20)
 class RtspHostClientTest {
     private static final HostLimits LIMITS = new HostLimits(2_000_000_000L, 2_000_000_000L, 0, 2);
+    private static final int MOST_LINES = 3;
     private final ServerSocket server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
     private final XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
     private final LinkedBlockingQueue<String> told = new LinkedBlockingQueue<>();
     private final HostAddress host = new HostAddress(7, "127.0.0.1", server.getLocalPort());
     private final RtspHostClient client = new RtspHostClient(worker.getIoThread(), LIMITS, 60_000_000_000L, 8,
-        ByteBuffer.allocate(4096), new HostClient.Notes() {
+        MOST_LINES, ByteBuffer.allocate(4096), new HostClient.Notes() {
             @Override
             public void delivered(long id, String session, double share) {
                 told.add("delivered " + session + " " + share);
--- /dev/null
+++ b/src/test/java/cypressvalve/run/NodeScene.java
@@ -0,0 +1,128 @@
+package cypressvalve.run;
+
+import cypressvalve.config.PlatformSettings;
+import java.io.BufferedReader;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.LinkedBlockingQueue;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A gateway whole on loopback: the test is viewer, media host and coordinator, with codecs of its own. */
+abstract class NodeScene {
+    final ServerSocket host = socket();
+    final ServerSocket coordinator = socket();
+    final ServerSocket next = socket();
+    final LinkedBlockingQueue<String> log = new LinkedBlockingQueue<>();
+    PlatformNode node;
+    @TempDir
+    Path dir;
+
+    static ServerSocket socket() {
+        try {
+            return new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    PlatformSettings settings(ServerSocket told) throws IOException {
+        String text = Files.readString(Path.of("deploy/archive.json")).replace("127.0.0.1:1\"", "127.0.0.1:" + told.getLocalPort()
+            + "\"").replaceAll("\"hostPort\": \"127.0.0.1:2\"", "\"hostPort\": \"127.0.0.1:" + host.getLocalPort() + "\"")
+            .replaceAll("\"coldNs\": [0-9]+", "\"coldNs\": 0");
+        return PlatformSettings.read(Files.writeString(dir.resolve("config.json"), text), null);
+    }
+
+    @BeforeEach
+    void start() throws IOException {
+        node = new PlatformNode(settings(coordinator), log::add, cause -> log.add("failed " + cause));
+        node.start();
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        node.kill();
+        host.close();
+        coordinator.close();
+        next.close();
+    }
+
+    static byte[] message(int type, long id, String... parameters) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        for (int i = 0; i < parameters.length; i += 2) {
+            out.write(Integer.parseInt(parameters[i]));
+            out.write(0);
+            out.write(parameters[i + 1].length());
+            out.writeBytes(parameters[i + 1].getBytes(StandardCharsets.UTF_8));
+        }
+        return ByteBuffer.allocate(11 + out.size()).putShort((short) (9 + out.size())).put((byte) type).putLong(id)
+            .put(out.toByteArray()).array();
+    }
+
+    static byte[] setUp(long id, String plan, String figures) {
+        return message(1, id, "129", plan, "132", "900", "135", "t", "141", "abc", "159", "9000", "144", figures, "174",
+            "v=" + id);
+    }
+
+    Socket viewer() throws IOException {
+        Socket socket = new Socket(InetAddress.getLoopbackAddress(), node.port());
+        socket.setSoTimeout(10_000);
+        socket.setTcpNoDelay(true);
+        return socket;
+    }
+
+    /** The next message to a viewer: type, session, value of its one parameter. */
+    static String heard(Socket socket) throws IOException {
+        DataInputStream in = new DataInputStream(socket.getInputStream());
+        byte[] all = new byte[in.readUnsignedShort()];
+        in.readFully(all);
+        String value = all.length < 12 ? "" : all[9] == (byte) 171 ? String.valueOf(all[12])
+            : new String(all, 12, all.length - 12, StandardCharsets.UTF_8);
+        return all[0] + " " + ByteBuffer.wrap(all, 1, 8).getLong() + " " + value;
+    }
+
+    static void say(Socket socket, String head, String body) throws IOException {
+        socket.getOutputStream().write((head + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
+            .getBytes(StandardCharsets.UTF_8));
+    }
+
+    static String head(BufferedReader in) throws IOException {
+        StringBuilder all = new StringBuilder();
+        int body = 0;
+        for (String line = in.readLine(); !line.isEmpty(); line = in.readLine()) {
+            all.append(line).append('\n');
+            body = line.startsWith("Content-Length: ") ? Integer.parseInt(line.substring(16)) : body;
+        }
+        in.skip(body);
+        return all.toString();
+    }
+
+    static BufferedReader reader(Socket socket) throws IOException {
+        return new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+    }
+
+    /** Plays the host until it was asked for a set-up, which it answers; the line it came on. */
+    Socket served(String session) throws IOException {
+        Socket line = host.accept();
+        BufferedReader in = reader(line);
+        for (String asked = head(in); ; asked = head(in)) {
+            if (asked.startsWith("OPTIONS")) {
+                String id = asked.replaceAll("(?s).*Session: ([0-9a-f]*).*", "$1");
+                say(line, "RTSP/1.0 200 OK\r\nCSeq: 3\r\nSession: " + id + "\r\nX-Occupancy: x0:0.1", "");
+            } else if (asked.startsWith("SETUP rtsp://media/abc") && asked.contains("Session: " + session)) {
+                say(line, "RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: " + session, "host's");
+                return line;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/cypressvalve/run/PlatformEndsTest.java
@@ -0,0 +1,262 @@
+package cypressvalve.run;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/**
+ * Whatever ends at an instant at which something is still owed. Bad orders are made to happen: the loop is held up while
+ * bytes and closes arrive, or a peer's answer shows that the gateway has come so far.
+ */
+@Timeout(30)
+class PlatformEndsTest extends NodeScene {
+    private static final String HOME = "home:0;copies:1;top:2";
+    private static final String STANDS = HOME + ";at:h-1";
+    private long pings = 1L << 40;
+
+    /** After two tests all that had come before the first was taken. */
+    private void settled(Socket viewer) throws IOException {
+        for (int i = 0; i < 2; i++) {
+            viewer.getOutputStream().write(message(52, ++pings));
+            assertEquals("53 " + pings + " 1", heard(viewer));
+        }
+    }
+
+    private static void end(Socket line, String session, int cause) throws IOException {
+        say(line, "TEARDOWN rtsp://media/s RTSP/1.0\r\nCSeq: 2\r\nSession: " + session + "\r\nReason: cause=" + cause, "");
+    }
+
+    /** The next request to the host that is no test. */
+    private static String asked(Socket line, BufferedReader in) throws IOException {
+        String asked = head(in);
+        while (asked.startsWith("OPTIONS")) {
+            String id = asked.replaceAll("(?s).*Session: ([0-9a-f]*).*", "$1");
+            say(line, "RTSP/1.0 200 OK\r\nCSeq: 3\r\nSession: " + id + "\r\nX-Occupancy: x0:0.1", "");
+            asked = head(in);
+        }
+        return asked;
+    }
+
+    /** A session that plays, handed over on that connection; the host's line. */
+    private Socket stands(Socket viewer, long id) throws IOException {
+        viewer.getOutputStream().write(setUp(id, "a", STANDS));
+        settled(viewer);
+        return host.accept();
+    }
+
+    private static void reset(Socket socket) throws IOException {
+        socket.setSoLinger(true, 0);
+        socket.close();
+    }
+
+    private CountDownLatch heldUp() throws InterruptedException {
+        CountDownLatch stands = new CountDownLatch(1);
+        CountDownLatch goOn = new CountDownLatch(1);
+        node.onLoop(() -> {
+            stands.countDown();
+            try {
+                goOn.await(10, TimeUnit.SECONDS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        stands.await();
+        return goOn;
+    }
+
+    /** Whoever closed or cancelled while the loop was late is gone: no try begins. */
+    @Test
+    void noTryBeginsForAViewerWhoLeftBeforeItWasRead() throws Exception {
+        try (Socket stays = viewer(); Socket cancels = viewer(); Socket closes = viewer(); Socket breaks = viewer()) {
+            settled(stays);
+            settled(cancels);
+            settled(closes);
+            settled(breaks);
+            CountDownLatch goOn = heldUp();
+            closes.getOutputStream().write(setUp(21, "a", HOME));
+            closes.close();
+            breaks.getOutputStream().write(setUp(22, "a", HOME));
+            reset(breaks);
+            cancels.getOutputStream().write(setUp(23, "a", HOME));
+            cancels.getOutputStream().write(message(12, 23, "171", "\u0010"));
+            goOn.countDown();
+            assertEquals("16 23 ", heard(cancels));
+            settled(stays);
+            stays.getOutputStream().write(setUp(24, "a", HOME));
+            try (Socket line = host.accept()) {
+                BufferedReader in = reader(line);
+                String first = asked(line, in);
+                assertTrue(first.startsWith("SETUP") && first.contains("Session: 0000000000000018"), first);
+            }
+        }
+    }
+
+    /** Written to a connection that broke before it was read, an end goes out again. */
+    @Test
+    void anEndOnAConnectionThatBreaksIsToldOnOthers() throws Exception {
+        try (Socket first = viewer(); Socket second = viewer(); Socket third = viewer()) {
+            settled(second);
+            settled(third);
+            Socket line = stands(first, 8);
+            BufferedReader in = reader(line);
+            end(line, "0000000000000008", 16);
+            assertTrue(head(in).startsWith("RTSP/1.0 200"));
+            settled(second); // The end was written: the host's word was answered before this.
+            reset(first);
+            assertEquals("12 8 16", heard(second));
+            assertEquals("12 8 16", heard(third), "either may be no usual viewer's");
+        }
+    }
+
+    /** What its viewer says it has heard is owed no more. */
+    @Test
+    void anEndThatWasHeardIsNotToldAgain() throws Exception {
+        try (Socket first = viewer(); Socket second = viewer()) {
+            settled(second);
+            Socket line = stands(first, 8);
+            end(line, "0000000000000008", 16);
+            assertEquals("12 8 16", heard(first));
+            first.getOutputStream().write(message(16, 8));
+            settled(first);
+            reset(first);
+            settled(second);
+            settled(second);
+        }
+    }
+
+    @Test
+    void anEndThatIsOwedGoesOutWithAHandOverAndWithATest() throws Exception {
+        Socket first = viewer();
+        Socket line = stands(first, 8);
+        BufferedReader in = reader(line);
+        first.close();
+        end(line, "0000000000000008", 16);
+        assertTrue(head(in).startsWith("RTSP/1.0 200"));
+        try (Socket test = viewer(); Socket over = viewer()) {
+            test.getOutputStream().write(message(52, 7));
+            assertEquals("12 8 16", heard(test));
+            assertEquals("53 7 1", heard(test));
+            over.getOutputStream().write(setUp(9, "a", STANDS));
+            assertEquals("12 8 16", heard(over), "the first may be no usual viewer's");
+        }
+    }
+
+    /** After a restart the host says what ended on the first line, and that may come before the front's word of it. */
+    @Test
+    void anEndThatComesBeforeItsHandOverIsTold() throws Exception {
+        try (Socket viewer = viewer(); Socket other = viewer()) {
+            Socket line = stands(other, 7);
+            BufferedReader in = reader(line);
+            end(line, "0000000000000008", 41);
+            assertTrue(head(in).startsWith("RTSP/1.0 200"));
+            settled(other);
+            viewer.getOutputStream().write(setUp(8, "a", STANDS));
+            assertEquals("12 8 41", heard(viewer));
+        }
+    }
+
+    private static String event(int number, String state, long startedMs) {
+        return "id: " + number + "\ndata: {\"index\":" + number + ",\"endpoints\":{\"generation\":2,\"reset\":false,\"instances\":["
+            + "{\"instanceId\":\"h-1\",\"hostPort\":\"127.0.0.1:PORT\",\"zone\":\"z\",\"machineType\":\"std\",\"cell\":0,\"lifecycle\":\""
+            + state + "\",\"weight\":1,\"startedAtMs\":" + startedMs + "}]}}\n\n";
+    }
+
+    private void tell(Socket stream, String event) throws IOException {
+        stream.getOutputStream().write(event.replace("PORT", String.valueOf(host.getLocalPort())).getBytes(StandardCharsets.UTF_8));
+    }
+
+    private Socket stream() throws IOException {
+        Socket stream = coordinator.accept();
+        head(reader(stream));
+        tell(stream, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n");
+        return stream;
+    }
+
+    /** Whoever takes connections at its address afterwards is another host: what played there is over. */
+    @Test
+    void whatPlayedAtAHostThatHasGoneIsOverThoughItsAddressIsTaken() throws Exception {
+        try (Socket stream = stream(); Socket viewer = viewer()) {
+            Socket line = stands(viewer, 8);
+            BufferedReader in = reader(line);
+            tell(stream, event(2, "DELETED", 0));
+            end(line, "0000000000000001", 16); // Of no session: its answer shows that the loop has turned.
+            assertTrue(head(in).startsWith("RTSP/1.0 200"));
+            settled(viewer);
+            reset(line);
+            assertEquals("12 8 41", heard(viewer));
+        }
+    }
+
+    /** A host that was started anew unseen carries nothing of what began before. */
+    @Test
+    void whatBeganBeforeAHostsStartIsOver() throws Exception {
+        try (Socket stream = stream(); Socket viewer = viewer()) {
+            stands(viewer, 8);
+            tell(stream, event(2, "SERVING", System.currentTimeMillis() + 1000));
+            assertEquals("12 8 41", heard(viewer));
+        }
+    }
+
+    /** The platform sends requests for a while after its word to end: they are served, but tests fail. */
+    @Test
+    void afterTheWordToEndRequestsAreServedAWhileAndTestsFail() throws Exception {
+        try (Socket viewer = viewer(); Socket test = viewer()) {
+            settled(viewer);
+            CountDownLatch done = new CountDownLatch(1);
+            node.drain(done::countDown);
+            node.drain(done::countDown);
+            test.getOutputStream().write(message(52, 7));
+            assertEquals("53 7 0", heard(test));
+            viewer.getOutputStream().write(setUp(8, "a", HOME));
+            Socket line = served("0000000000000008");
+            assertEquals("9 8 host's", heard(viewer));
+            assertFalse(done.await(900, TimeUnit.MILLISECONDS), "what plays plays on");
+            end(line, "0000000000000008", 16);
+            assertEquals("12 8 16", heard(viewer));
+            assertTrue(done.await(10, TimeUnit.SECONDS));
+        }
+    }
+
+    /** The loop stands still while the last time runs out: what came meanwhile is refused, not taken along. */
+    @Test
+    void whatComesUnreadAtTheVeryEndIsRefused() throws Exception {
+        try (Socket known = viewer(); Socket fresh = viewer()) {
+            settled(known);
+            CountDownLatch done = new CountDownLatch(1);
+            node.drain(done::countDown);
+            CountDownLatch goOn = heldUp();
+            known.getOutputStream().write(setUp(8, "a", HOME));
+            fresh.getOutputStream().write(setUp(9, "a", HOME));
+            assertFalse(done.await(1, TimeUnit.SECONDS));
+            goOn.countDown();
+            assertEquals("12 8 34", heard(known));
+            assertEquals("12 9 34", heard(fresh));
+            assertTrue(done.await(10, TimeUnit.SECONDS));
+            assertEquals(-1, known.getInputStream().read(), "closed after its answer");
+        }
+    }
+
+    /** On a late loop a set-up may have waited unread since long before its connection is looked at as idle. */
+    @Test
+    void aConnectionIsNotClosedForSilenceOverASetUpThatWaitsUnread() throws Exception {
+        try (Socket viewer = viewer()) {
+            CountDownLatch goOn = heldUp();
+            viewer.getOutputStream().write(setUp(8, "a", HOME));
+            assertFalse(goOn.await(1900, TimeUnit.MILLISECONDS)); // Over the time of a connection that says nothing.
+            goOn.countDown();
+            String answer = heard(viewer);
+            assertEquals("12 8 34", answer, "its time is up, but it is answered");
+            assertNull(log.peek());
+        }
+    }
+}
