--- a/src/main/java/cypressvalve/fleet/stream/StreamFollower.java
+++ b/src/main/java/cypressvalve/fleet/stream/StreamFollower.java
@@ -32,6 +32,8 @@
     private static final long FIRST_MS = 500;
     private static final long AGAIN_MS = 150;
     private static final long AGAIN_MOST_MS = 1_000;
+    /** What the coordinator has to tell when it is asked comes within this of its answer. */
+    private static final long TOLD_MS = 60;
     /** A stream that has lived so long is well: the next break is a first one again. */
     private static final long WELL_MS = 2_000;
     /** So often an event that can't be read, or one with others missing before it, is asked for anew from the last good. */
@@ -56,6 +58,7 @@
     /** Numbers were found to leave some out for good. */
     private boolean gapsAreUsual;
     private boolean closed;
+    private Runnable whenCurrent;
 
     /**
      * @param last the number of the last event that is known
@@ -75,13 +78,25 @@
         this.log = log;
     }
 
-    /** Begins to follow; on the thread. */
-    public void start() {
+    /**
+     * Begins to follow; on the thread.
+     *
+     * @param current run once, when a stream was answered and what it had to tell at once was taken
+     */
+    public void start(Runnable current) {
+        whenCurrent = current;
         if (!closed) {
             stream = new Stream();
         }
     }
 
+    private void current() {
+        if (whenCurrent != null) {
+            whenCurrent.run();
+            whenCurrent = null;
+        }
+    }
+
     /** Reads on at another address, on the thread: in a moment, as other gateways are told at the same time. */
     public void move(InetSocketAddress to) {
         if (!to.equals(address)) {
@@ -183,6 +198,7 @@
         private long openedAt;
         /** Something came behind the head. */
         private boolean brought;
+        private boolean answered;
         private boolean over;
 
         private Stream() {
@@ -256,6 +272,13 @@
             }
             if (http.over()) {
                 broken();
+            } else if (http.body() && !answered) {
+                answered = true;
+                thread.executeAfter(() -> {
+                    if (!over) {
+                        current();
+                    }
+                }, TOLD_MS, TimeUnit.MILLISECONDS);
             }
         }
 
--- a/src/main/java/cypressvalve/net/HttpStream.java
+++ b/src/main/java/cypressvalve/net/HttpStream.java
@@ -66,6 +66,11 @@
         }
     }
 
+    /** Whether the head is through. */
+    public boolean body() {
+        return part != Part.STATUS && part != Part.FIELDS;
+    }
+
     /** Whether the body has ended by its own word. */
     public boolean over() {
         return part == Part.OVER;
--- a/src/main/java/cypressvalve/run/PlatformNode.java
+++ b/src/main/java/cypressvalve/run/PlatformNode.java
@@ -18,6 +18,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.random.RandomGeneratorFactory;
@@ -35,6 +36,8 @@
     private static final long SECOND = 1_000_000_000L;
     private static final int BUFFER = 16 * 1024;
     private static final long SWEEP_MS = 250;
+    /** A start waits so long for the coordinator's first answer: it may be down, and nobody is served meanwhile. */
+    private static final long LIST_WAIT = 2_500_000_000L;
     /** Sweeps from one line of counts to the next: ten seconds. */
     private static final int COUNTS_EVERY = Integer.getInteger("counts", 40);
     /** Parts of the descriptors: viewers hold a third at most, others that connect need room beside them. */
@@ -124,11 +127,17 @@
         } catch (Change.Refused e) {
             throw new BadSettings(List.of("known." + e.getMessage()));
         }
-        WarmUp.run(settings, known);
+        // What the coordinator has told since the configuration was written is known before the first request comes.
+        CountDownLatch current = new CountDownLatch(1);
         thread.execute(() -> {
             core.start();
             known.forEach(this::listed);
-            follower.start();
+            follower.start(current::countDown);
+        });
+        long begun = System.nanoTime();
+        WarmUp.run(settings, known);
+        await(current, begun + LIST_WAIT - System.nanoTime());
+        thread.execute(() -> {
             front.ready(!ending);
             sweepLater();
         });
@@ -138,6 +147,14 @@
         server.resumeAccepts();
     }
 
+    private static void await(CountDownLatch latch, long most) {
+        try {
+            latch.await(most, TimeUnit.NANOSECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private void accept(AcceptingChannel<? extends StreamConnection> server) {
         try {
             for (StreamConnection c = server.accept(); c != null; c = server.accept()) {
--- a/src/test/java/cypressvalve/run/NodeScene.java
+++ b/src/test/java/cypressvalve/run/NodeScene.java
@@ -43,15 +43,33 @@
         return PlatformSettings.read(Files.writeString(dir.resolve("config.json"), text), null);
     }
 
+    static final String OK = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+    /** The gateway's first stream of the list, and what it asked for by it. */
+    Socket stream;
+    String streamAsked;
+
+    /** A gateway is ready once the coordinator has answered, so that is done beside its start. */
     @BeforeEach
-    void start() throws IOException {
+    void start() throws Exception {
+        Thread answers = new Thread(() -> {
+            try {
+                stream = coordinator.accept();
+                streamAsked = head(reader(stream));
+                stream.getOutputStream().write(OK.getBytes(StandardCharsets.UTF_8));
+            } catch (IOException e) {
+                throw new java.io.UncheckedIOException(e);
+            }
+        });
+        answers.start();
         node = new PlatformNode(settings(coordinator), log::add, cause -> log.add("failed " + cause));
         node.start();
+        answers.join();
     }
 
     @AfterEach
     void stop() throws IOException {
         node.kill();
+        stream.close();
         host.close();
         coordinator.close();
         next.close();
--- a/src/test/java/cypressvalve/run/PlatformEndsTest.java
+++ b/src/test/java/cypressvalve/run/PlatformEndsTest.java
@@ -171,24 +171,17 @@
             + state + "\",\"weight\":1,\"startedAtMs\":" + startedMs + "}]}}\n\n";
     }
 
-    private void tell(Socket stream, String event) throws IOException {
+    private void tell(String event) throws IOException {
         stream.getOutputStream().write(event.replace("PORT", String.valueOf(host.getLocalPort())).getBytes(StandardCharsets.UTF_8));
     }
 
-    private Socket stream() throws IOException {
-        Socket stream = coordinator.accept();
-        head(reader(stream));
-        tell(stream, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n");
-        return stream;
-    }
-
     /** Whoever takes connections at its address afterwards is another host: what played there is over. */
     @Test
     void whatPlayedAtAHostThatHasGoneIsOverThoughItsAddressIsTaken() throws Exception {
-        try (Socket stream = stream(); Socket viewer = viewer()) {
+        try (Socket viewer = viewer()) {
             Socket line = stands(viewer, 8);
             BufferedReader in = reader(line);
-            tell(stream, event(2, "DELETED", 0));
+            tell(event(2, "DELETED", 0));
             end(line, "0000000000000001", 16); // Of no session: its answer shows that the loop has turned.
             assertTrue(head(in).startsWith("RTSP/1.0 200"));
             settled(viewer);
@@ -200,9 +193,9 @@
     /** A host that was started anew unseen carries nothing of what began before. */
     @Test
     void whatBeganBeforeAHostsStartIsOver() throws Exception {
-        try (Socket stream = stream(); Socket viewer = viewer()) {
+        try (Socket viewer = viewer()) {
             stands(viewer, 8);
-            tell(stream, event(2, "SERVING", System.currentTimeMillis() + 1000));
+            tell(event(2, "SERVING", System.currentTimeMillis() + 1000));
             assertEquals("12 8 41", heard(viewer));
         }
     }
@@ -259,4 +252,41 @@
             assertNull(log.peek());
         }
     }
+
+    /** What was told while a gateway started is known before it passes a test: nothing new goes to a host that drains. */
+    @Test
+    void aGatewayIsReadyOnceItsListIsCurrent() throws Exception {
+        CountDownLatch answer = new CountDownLatch(1);
+        Thread late = new Thread(() -> {
+            try (Socket asked = next.accept()) {
+                head(reader(asked));
+                answer.await();
+                asked.getOutputStream().write((OK + event(2, "DRAINING", 0).replace("PORT", "2")).getBytes(StandardCharsets.UTF_8));
+                asked.getInputStream().read();
+            } catch (IOException | InterruptedException e) {
+                log.add(e.toString());
+            }
+        });
+        late.start();
+        PlatformNode other = new PlatformNode(settings(next), log::add, cause -> log.add("failed " + cause));
+        Thread starts = new Thread(() -> {
+            try {
+                other.start();
+            } catch (IOException e) {
+                log.add(e.toString());
+            }
+        });
+        starts.start();
+        starts.join(1300); // Longer than the rest of a start takes; the answer is waited for.
+        assertTrue(starts.isAlive());
+        answer.countDown();
+        starts.join();
+        try (Socket viewer = new Socket("127.0.0.1", other.port())) {
+            viewer.setSoTimeout(10_000);
+            viewer.getOutputStream().write(setUp(8, "a", HOME));
+            assertEquals("12 8 34", heard(viewer), "its only holder drains");
+        }
+        other.kill();
+        late.join();
+    }
 }
--- a/src/test/java/cypressvalve/run/PlatformNodeTest.java
+++ b/src/test/java/cypressvalve/run/PlatformNodeTest.java
@@ -66,19 +66,17 @@
         String event = "id: 2\ndata: {\"index\":2,\"endpoints\":{\"generation\":2,\"reset\":false,\"instances\":[{\"instanceId\":"
             + "\"h-1\",\"hostPort\":\"127.0.0.1:2\",\"zone\":\"z\",\"machineType\":\"std\",\"cell\":0,\"lifecycle\":\"DELETED\","
             + "\"weight\":1,\"startedAtMs\":0}]}}\n\n";
-        String ok = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
-        try (Socket broken = coordinator.accept()) {
-            assertTrue(head(reader(broken)).contains("Last-Event-ID: 1\n"));
-            broken.getOutputStream().write((ok + event.substring(0, 60)).getBytes(StandardCharsets.UTF_8));
-        }
+        assertTrue(streamAsked.contains("Last-Event-ID: 1\n"), streamAsked);
+        stream.getOutputStream().write(event.substring(0, 60).getBytes(StandardCharsets.UTF_8));
+        stream.close();
         try (Socket whole = coordinator.accept(); Socket viewer = viewer()) {
             assertTrue(head(reader(whole)).contains("Last-Event-ID: 1\n"), "what was cut is asked for again");
-            whole.getOutputStream().write((ok + event + event).getBytes(StandardCharsets.UTF_8));
+            whole.getOutputStream().write((OK + event + event).getBytes(StandardCharsets.UTF_8));
             node.reload(settings(next));
             Socket moved = next.accept();
             String asked = head(reader(moved));
             assertTrue(asked.contains("Last-Event-ID: "), asked);
-            moved.getOutputStream().write((ok + event).getBytes(StandardCharsets.UTF_8));
+            moved.getOutputStream().write((OK + event).getBytes(StandardCharsets.UTF_8));
             assertEquals(-1, whole.getInputStream().read(), "the old stream is left");
             String answer;
             long id = 10;
