A viewer's id is used once, also after its end and by two in one turn of the loop

Read: bad clients send the id of an open request with another description. SignalFront.setUp told them by core.session(id) alone: after the first one's end, or if the second was read first (the selected keys of a turn have no order), the copy became a session of its own. Ids are remembered for 30 s; of two that bring one id in one turn neither is served.

--- a/src/main/java/cypressvalve/front/signal/SignalFront.java
+++ b/src/main/java/cypressvalve/front/signal/SignalFront.java
@@ -17,6 +17,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.Executor;
 import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
 import org.xnio.StreamConnection;
@@ -39,6 +40,9 @@
     private static final int OTHERS = 3;
     /** Set-ups that one connection may have open: several times what a busy gateway takes in a second. */
     private static final int MOST_OPEN = 256;
+    /** Ids of set-ups are remembered so long, and so many: none is used twice, and who does is no viewer. */
+    private static final long USED = 30 * SECOND;
+    private static final int MOST_USED = 4096;
     private static final int MOST_QUEUED = 256 * 1024;
     /** Ends remembered: more than a busy gateway tells in the time that they are kept. */
     private static final int MOST_OWED = 4096;
@@ -52,6 +56,13 @@
     private final ToLongFunction<String> hosts;
     private final int mostConnections;
     private final ByteBuffer buffer;
+    private final Executor turn;
+    /**
+     * Set-ups read in this turn of the loop, by session: they go on with the next, once all that came was read. Their
+     * viewers may have left meanwhile, and connections are read in any order.
+     */
+    private final Map<Long, Waiting> fresh = new LinkedHashMap<>();
+    private final Map<Long, Long> used = new LinkedHashMap<>();
     private final Set<Viewers> all = new LinkedHashSet<>();
     /** By session, the oldest first: ends of the last seconds, told or not. */
     private final Map<Long, Owed> owed = new LinkedHashMap<>();
@@ -83,14 +94,16 @@
      * @param hosts a media host's number by its name
      * @param mostConnections held at once
      * @param buffer what is read into, shared by the thread's connections
+     * @param turn runs what it is given in the loop's next turn
      */
     public SignalFront(SessionCore core, Settings settings, ToLongFunction<String> hosts, int mostConnections,
-        ByteBuffer buffer) {
+        ByteBuffer buffer, Executor turn) {
         this.core = core;
         this.settings = settings;
         this.hosts = hosts;
         this.mostConnections = mostConnections;
         this.buffer = buffer;
+        this.turn = turn;
     }
 
     /** Whether tests are passed, while the core serves. */
@@ -135,6 +148,22 @@
             }
         }
         owed.values().removeIf(o -> now - o.since > OWED);
+        used.values().removeIf(at -> now - at > USED);
+    }
+
+    private void askFresh() {
+        List<Waiting> asked = List.copyOf(fresh.values());
+        fresh.clear();
+        asked.forEach(Waiting::ask);
+    }
+
+    private void use(long id) {
+        used.put(id, core.clock().now());
+        if (used.size() > MOST_USED) {
+            Iterator<Long> oldest = used.keySet().iterator();
+            oldest.next();
+            oldest.remove();
+        }
     }
 
     /** Whether all answers and ends have left for the sockets. */
@@ -149,8 +178,9 @@
 
     /** Takes what has come on all connections, then closes them once what they are owed has left. */
     public void finish() {
+        List.copyOf(all).forEach(v -> v.duplex.readNow());
+        askFresh();
         for (Viewers v : List.copyOf(all)) {
-            v.duplex.readNow();
             v.duplex.finish();
             if (v.duplex.flushed()) {
                 all.remove(v);
@@ -222,8 +252,6 @@
     private final class Viewers implements Duplex.Taker {
         private final Duplex duplex;
         private final Signal.Reader reader = new Signal.Reader();
-        /** Set-ups read in this turn: they go on once all that came was read, as their viewers may have left meanwhile. */
-        private final Map<Long, Waiting> fresh = new LinkedHashMap<>();
         private final Set<Waiting> open = new HashSet<>();
         /** Answered here, and playing. */
         private final Set<Waiting> standing = new HashSet<>();
@@ -273,7 +301,6 @@
          */
         private void gone(boolean broken) {
             all.remove(this);
-            fresh.clear();
             for (Waiting w : List.copyOf(open)) {
                 w.hungUp();
             }
@@ -304,13 +331,6 @@
             }
         }
 
-        @Override
-        public void taken() {
-            List<Waiting> asked = List.copyOf(fresh.values());
-            fresh.clear();
-            asked.forEach(Waiting::ask);
-        }
-
         private void take(Signal signal) throws Signal.Unreadable {
             switch (signal.type()) {
                 case Signal.SET_UP -> setUp(signal);
@@ -341,17 +361,26 @@
                 return;
             }
             Session there = core.session(signal.id());
+            Waiting twin = fresh.get(signal.session());
             if (wish.at() != null) {
                 handOver(wish, signal, there);
-            } else if (there != null || fresh.containsKey(signal.session())) {
+            } else if (twin != null && twin.viewers != this) {
+                // One of them is no viewer, and which came first can't be told: neither is served by the other's word.
+                twin.rejected(0);
+                duplex.write(Signal.message(Signal.RELEASE, signal.session(), NO_ROOM));
+            } else if (there != null || twin != null || used.containsKey(signal.session())) {
                 // An id is used once: who uses another's, or its own again, is no viewer.
-                throw new Signal.Unreadable("an id that is in use");
+                throw new Signal.Unreadable("an id that was used");
             } else if (open.size() >= MOST_OPEN) {
                 duplex.write(Signal.message(Signal.RELEASE, signal.session(), NO_ROOM));
             } else {
                 usual();
                 Waiting waiting = new Waiting(this, signal.session(), wish.ask());
                 open.add(waiting);
+                use(signal.session());
+                if (fresh.isEmpty()) {
+                    turn.execute(SignalFront.this::askFresh);
+                }
                 fresh.put(signal.session(), waiting);
             }
         }
@@ -373,7 +402,7 @@
 
         private void release(Signal signal) {
             Session session = core.session(signal.id());
-            Waiting asked = fresh.remove(signal.session());
+            Waiting asked = fresh.get(signal.session());
             if (asked != null) {
                 asked.hungUp();
             } else if (session != null && session.state() == Session.State.PLAYING) {
--- a/src/main/java/cypressvalve/net/Duplex.java
+++ b/src/main/java/cypressvalve/net/Duplex.java
@@ -19,9 +19,6 @@
         /** Takes all bytes of the buffer; it is used again afterwards. */
         void bytes(ByteBuffer data);
 
-        /** All that had come was taken, and the connection is still open: what was said is not taken back by its end. */
-        default void taken() { }
-
         /** It is closed, from whichever side; told once, and not by {@link Duplex#close}. */
         void closed();
     }
@@ -71,7 +68,6 @@
 
     private void read(StreamSourceChannel source) {
         try {
-            boolean came = false;
             for (int i = 0; i < READS && !closed; i++) {
                 buffer.clear();
                 int n = source.read(buffer);
@@ -80,17 +76,13 @@
                     return;
                 }
                 if (n == 0) {
-                    break;
+                    return;
                 }
-                came = true;
                 buffer.flip();
                 if (!closing) {
                     taker.bytes(buffer);
                 }
             }
-            if (came && isOpen()) {
-                taker.taken();
-            }
         } catch (IOException | RuntimeException e) {
             over();
         }
--- a/src/main/java/cypressvalve/run/PlatformNode.java
+++ b/src/main/java/cypressvalve/run/PlatformNode.java
@@ -112,7 +112,8 @@
             new XnioLoop(thread), client, follower, MOST_SESSIONS, new Gate.Limits(MOST_OPEN, LATE), counts,
             onFailure);
         notes.core = core;
-        front = new SignalFront(core, settings.control(), HostIds::of, (int) (settings.sockets() * VIEWERS_PART), buffer);
+        front = new SignalFront(core, settings.control(), HostIds::of, (int) (settings.sockets() * VIEWERS_PART), buffer,
+            thread::execute);
     }
 
     private void listed(ListVersion version) {
--- a/src/test/java/cypressvalve/run/PlatformEndsTest.java
+++ b/src/test/java/cypressvalve/run/PlatformEndsTest.java
@@ -289,4 +289,37 @@
         other.kill();
         late.join();
     }
+
+    /** Who sends another's set-up again, changed, may be read first: neither is served by the other's word. */
+    @Test
+    void ofTwoThatBringOneIdInOneTurnNeitherIsServed() throws Exception {
+        try (Socket one = viewer(); Socket other = viewer(); Socket third = viewer()) {
+            settled(one);
+            settled(other);
+            CountDownLatch goOn = heldUp();
+            one.getOutputStream().write(setUp(8, "a", HOME));
+            other.getOutputStream().write(setUp(8, "b", HOME));
+            goOn.countDown();
+            assertEquals("12 8 34", heard(one));
+            assertEquals("12 8 34", heard(other));
+            third.getOutputStream().write(setUp(9, "a", HOME));
+            served("0000000000000009");
+            assertEquals("9 9 host's", heard(third));
+        }
+    }
+
+    /** Its first use is over, so nothing is in use; but no viewer uses an id twice. */
+    @Test
+    void anIdIsNotUsedAgainAfterItsEnd() throws Exception {
+        try (Socket viewer = viewer(); Socket again = viewer()) {
+            viewer.getOutputStream().write(setUp(8, "a", HOME));
+            Socket line = served("0000000000000008");
+            assertEquals("9 8 host's", heard(viewer));
+            end(line, "0000000000000008", 16);
+            assertEquals("12 8 16", heard(viewer));
+            settled(again);
+            again.getOutputStream().write(setUp(8, "b", HOME));
+            assertEquals(-1, again.getInputStream().read());
+        }
+    }
 }
