--- a/src/test/java/cypressvalve/host/rtsp/RtspHostClientTest.java
+++ b/src/test/java/cypressvalve/host/rtsp/RtspHostClientTest.java
@@ -196,4 +196,99 @@
             assertEquals("ended 00000000000000aa BROKEN", told.take());
         }
     }
+
+    private static final String RELEASE = "TEARDOWN rtsp://media/session RTSP/1.0";
+
+    /** Whoever broke the line may not have read it: a session that nobody ends would hold its seat. */
+    @Test
+    void aReleaseOnALineThatBreaksIsSaidAgain() throws Exception {
+        onLoop(() -> client.follow(host, true));
+        try (Socket first = server.accept()) {
+            BufferedReader in = reader(first);
+            onLoop(() -> client.release(host, "00000000000000aa.0"));
+            assertTrue(message(in).startsWith(RELEASE));
+            first.setSoLinger(true, 0);
+        }
+        try (Socket second = server.accept()) {
+            String said = message(reader(second));
+            assertTrue(said.startsWith(RELEASE) && said.contains("00000000000000aa"), said);
+        }
+    }
+
+    /** The answer to a set-up that was given up may cross its end, and the line may break before that is read. */
+    @Test
+    void theEndOfAGivenUpTryOnALineThatBreaksIsSaidAgain() throws Exception {
+        HostClient.Call[] call = new HostClient.Call[1];
+        onLoop(() -> call[0] = setUp("00000000000000aa"));
+        try (Socket first = server.accept()) {
+            BufferedReader in = reader(first);
+            message(in);
+            onLoop(() -> call[0].withdraw());
+            assertTrue(message(in).startsWith("TEARDOWN"));
+            first.setSoLinger(true, 0);
+        }
+        assertEquals("back 00000000000000aa WITHDRAWN", told.take());
+        try (Socket second = server.accept()) {
+            BufferedReader in = reader(second);
+            String said = message(in);
+            assertTrue(said.startsWith(RELEASE) && said.contains("00000000000000aa"), said);
+            onLoop(() -> setUp("00000000000000aa"));
+            assertTrue(message(in).startsWith("SETUP"), "a further try goes out behind that");
+        }
+    }
+
+    /** A second copy of the first answer, some milliseconds late, would pass for the second's. */
+    @Test
+    void aTryAfterAnAnsweredOneTakesAnotherLine() throws Exception {
+        onLoop(() -> setUp("00000000000000aa"));
+        try (Socket first = server.accept()) {
+            message(reader(first));
+            say(first, "RTSP/1.0 500 No\r\nCSeq: 1\r\nSession: 00000000000000aa", "");
+            assertEquals("back 00000000000000aa ERROR", told.take());
+            onLoop(() -> setUp("00000000000000aa"));
+            try (Socket second = server.accept()) {
+                message(reader(second));
+                say(first, "RTSP/1.0 500 No\r\nCSeq: 1\r\nSession: 00000000000000aa", "");
+                say(first, "TEARDOWN rtsp://media/s RTSP/1.0\r\nCSeq: 2\r\nSession: 00000000000000bb\r\nReason: cause=16", "");
+                assertEquals("ended 00000000000000bb OK", told.take(), "the copy before it changed nothing");
+                say(second, "RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: 00000000000000aa", "mine");
+                assertEquals("started 00000000000000aa mine", told.take());
+            }
+        }
+    }
+
+    /** Its address may be another's by now. */
+    @Test
+    void aHostThatHasGoneIsNotAskedAtItsAddress() throws Exception {
+        onLoop(() -> client.follow(host, true));
+        try (Socket line = server.accept()) {
+            say(line, "TEARDOWN rtsp://media/s RTSP/1.0\r\nCSeq: 2\r\nSession: 00000000000000aa\r\nReason: cause=16", "");
+            assertEquals("ended 00000000000000aa OK", told.take());
+            onLoop(() -> client.gone(host, true));
+            assertTrue(told.isEmpty(), "as long as its line is up it may still say what ends");
+        }
+        assertEquals("lost 7", told.take());
+    }
+
+    @Test
+    void linesToAllHostsTogetherAreBoundAndTheLongestIdleIsClosed() throws Exception {
+        Socket[] lines = new Socket[MOST_LINES];
+        for (int i = 0; i < MOST_LINES; i++) {
+            HostAddress other = new HostAddress(100 + i, "127.0.0.1", server.getLocalPort());
+            onLoop(() -> client.follow(other, true));
+            lines[i] = server.accept();
+            say(lines[i], "TEARDOWN rtsp://media/s RTSP/1.0\r\nCSeq: 2\r\nSession: 000000000000000" + i + "\r\nReason: cause=16", "");
+            assertEquals("ended 000000000000000" + i + " OK", told.take());
+            message(reader(lines[i]));
+        }
+        onLoop(() -> setUp("00000000000000aa"));
+        try (Socket fresh = server.accept()) {
+            assertTrue(message(reader(fresh)).startsWith("SETUP"));
+            assertEquals(-1, lines[0].getInputStream().read());
+            onLoop(() -> assertEquals(MOST_LINES, client.connections()));
+        }
+        for (Socket line : lines) {
+            line.close();
+        }
+    }
 }
--- /dev/null
+++ b/src/test/java/cypressvalve/net/DuplexTest.java
@@ -0,0 +1,119 @@
+package cypressvalve.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.DataInputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/** A connection whose peer reads nothing until it is told to, so that what is written waits. */
+@Timeout(20)
+class DuplexTest {
+    private static final int MOST = 1 << 26;
+    private final ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+    private final XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
+    private final LinkedBlockingQueue<Boolean> answers = new LinkedBlockingQueue<>();
+
+    DuplexTest() throws java.io.IOException { }
+
+    @AfterEach
+    void stop() throws Exception {
+        worker.shutdownNow();
+        server.close();
+    }
+
+    /** Connects, and hands the connection over on its loop. */
+    private Socket with(Duplex.Taker taker, Consumer<Duplex> use) throws Exception {
+        worker.getIoThread().openStreamConnection(new InetSocketAddress(InetAddress.getLoopbackAddress(), server.getLocalPort()),
+            c -> use.accept(new Duplex(c, ByteBuffer.allocate(4096), MOST, taker)), OptionMap.EMPTY);
+        return server.accept();
+    }
+
+    private static final Duplex.Taker NOBODY = new Duplex.Taker() {
+        @Override
+        public void bytes(ByteBuffer data) { }
+
+        @Override
+        public void closed() { }
+    };
+
+    private static int fill(Duplex duplex) {
+        int written = 0;
+        for (byte[] block = new byte[65_536]; duplex.flushed(); written += block.length) {
+            duplex.write(block.clone());
+        }
+        return written;
+    }
+
+    @Test
+    void whatHasNotLeftIsTakenBackWhole() throws Exception {
+        LinkedBlockingQueue<Integer> before = new LinkedBlockingQueue<>();
+        try (Socket peer = with(NOBODY, duplex -> {
+            before.add(fill(duplex));
+            byte[] taken = {1, 1, 1};
+            byte[] left = {2, 2, 2};
+            duplex.write(taken);
+            duplex.write(left);
+            answers.add(duplex.takeBack(taken));
+            answers.add(duplex.takeBack(taken));
+        })) {
+            assertTrue(answers.take());
+            assertFalse(answers.take(), "it is not there any more");
+            DataInputStream in = new DataInputStream(peer.getInputStream());
+            in.skipNBytes(before.take());
+            assertEquals(2, in.read(), "what follows goes out in its place");
+        }
+    }
+
+    @Test
+    void whatHasLeftIsNotTakenBack() throws Exception {
+        try (Socket peer = with(NOBODY, duplex -> {
+            byte[] message = {1};
+            duplex.write(message);
+            answers.add(duplex.takeBack(message));
+        })) {
+            assertFalse(answers.take());
+            assertEquals(1, peer.getInputStream().read());
+        }
+    }
+
+    /** Whoever owes what was written can see, when it is told of the close, what the peer can't have read. */
+    @Test
+    void whenItIsToldOfACloseWhatWaitedCanBeSeen() throws Exception {
+        byte[] message = {1};
+        Duplex[] made = new Duplex[1];
+        try (Socket peer = with(new Duplex.Taker() {
+            @Override
+            public void bytes(ByteBuffer data) { }
+
+            @Override
+            public void closed() {
+                answers.add(made[0].waits(message));
+            }
+        }, duplex -> {
+            made[0] = duplex;
+            duplex.start();
+            fill(duplex);
+            duplex.write(message);
+            answers.add(duplex.waits(message));
+        })) {
+            assertTrue(answers.take());
+            peer.setSoLinger(true, 0);
+        }
+        assertTrue(answers.take());
+    }
+}
