--- a/src/test/java/cypressvalve/fleet/stream/StreamFollowerTest.java
+++ b/src/test/java/cypressvalve/fleet/stream/StreamFollowerTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import cypressvalve.fleet.membership.ListVersion;
+import cypressvalve.net.Loopback;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
@@ -30,7 +31,7 @@
 @Timeout(20)
 class StreamFollowerTest {
     private static final String OK = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
-    private final ServerSocket coordinator = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+    private final ServerSocket coordinator = Loopback.server();
     private final XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
     private final LinkedBlockingQueue<ListVersion> taken = new LinkedBlockingQueue<>();
     private final LinkedBlockingQueue<String> log = new LinkedBlockingQueue<>();
@@ -167,7 +168,7 @@
 
     @Test
     void aMoveBeforeTheStartIsWhereItStarts() throws Exception {
-        try (ServerSocket next = new ServerSocket(0, 10, InetAddress.getLoopbackAddress())) {
+        try (ServerSocket next = Loopback.server()) {
             StreamFollower other = new StreamFollower(worker.getIoThread(), ByteBuffer.allocate(4096), address(coordinator), 5, 3,
                 Set.of("std"), RandomGenerator.of("L64X128MixRandom"), taken::add, log::add);
             LinkedBlockingQueue<String> failed = new LinkedBlockingQueue<>();
--- a/src/test/java/cypressvalve/net/DuplexTest.java
+++ b/src/test/java/cypressvalve/net/DuplexTest.java
@@ -24,7 +24,7 @@
 @Timeout(20)
 class DuplexTest {
     private static final int MOST = 1 << 26;
-    private final ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+    private final ServerSocket server = Loopback.server();
     private final XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
     private final LinkedBlockingQueue<Boolean> answers = new LinkedBlockingQueue<>();
 
--- a/src/test/java/cypressvalve/run/NodeScene.java
+++ b/src/test/java/cypressvalve/run/NodeScene.java
@@ -1,6 +1,7 @@
 package cypressvalve.run;
 
 import cypressvalve.config.PlatformSettings;
+import cypressvalve.net.Loopback;
 import java.io.BufferedReader;
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
@@ -30,7 +31,7 @@
 
     static ServerSocket socket() {
         try {
-            return new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+            return Loopback.server();
         } catch (IOException e) {
             throw new IllegalStateException(e);
         }
