A host that says nothing is tested as late as its viewers' ends allow, not each 1.5 s

What is left is Lifeline's test of a host that was silent for 1.5 s: each gateway tests each host at which something plays, and at thin traffic hosts are silent most of the time. The protocol wants an end to be known within 8 s. The time is now worked out from that, the time that connections take and the looks' spacing: 4.6 s at 250 ms.

--- a/src/main/java/cypressvalve/host/rtsp/Lifeline.java
+++ b/src/main/java/cypressvalve/host/rtsp/Lifeline.java
@@ -9,8 +9,12 @@
     /** What is to be done now. */
     enum Step { NOTHING, CONNECT, TEST, LOST }
 
-    /** A host that says nothing for so long is tested: two of these fit into the time in which an end must be known. */
-    private static final long SILENT = 1_500_000_000L;
+    /** Viewers are owed the end of what a host that vanished carried within 8 s: by then the loss is known. */
+    private static final long KNOWN = 7_500_000_000L;
+    /** How far apart looks may be, and what a late loop takes. */
+    private static final long LOOKS = 250_000_000L;
+    /** Hosts that take long to connect to are tested no sooner than this. */
+    private static final long LEAST_SILENT = 1_500_000_000L;
     /** Then, if no answer came, a new connection is tried: longer than a loaded host takes for a test. */
     private static final long UNANSWERED = 1_000_000_000L;
     /** Time from one try to the next. */
@@ -18,6 +22,12 @@
     /** So many tries in a row that came to nothing prove the loss: one may meet a full table, or be reset when new. */
     private static final int FAILED_TRIES = 3;
 
+    /**
+     * A host that says nothing for so long is tested: as late as the time in which an end must be known allows, as all
+     * gateways test all that they use, and a host pays for each test.
+     */
+    private final long silent;
+
     private long heardAt;
     private long testedAt = Long.MIN_VALUE / 2;
     private long triedAt = Long.MIN_VALUE / 2;
@@ -26,8 +36,11 @@
     private int failed;
     private long failedAt = Long.MIN_VALUE / 2;
 
-    Lifeline(long now) {
+    /** @param connectTimeout nanoseconds after which a connection counts as none */
+    Lifeline(long now, long connectTimeout) {
         heardAt = now;
+        silent = Math.max(LEAST_SILENT, KNOWN - UNANSWERED - LOOKS
+            - FAILED_TRIES * (Math.max(connectTimeout, AGAIN) + LOOKS));
     }
 
     /** Bytes came from the host. */
@@ -62,10 +75,10 @@
             return due ? tried(now) : Step.NOTHING;
         }
         long quiet = now - Math.max(heardAt, provedAt);
-        if (quiet < SILENT) {
+        if (quiet < silent) {
             return Step.NOTHING;
         }
-        if (testedAt < heardAt || now - testedAt > SILENT + UNANSWERED) {
+        if (testedAt < heardAt || now - testedAt > silent + UNANSWERED) {
             testedAt = now;
             return Step.TEST;
         }
--- a/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
+++ b/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
@@ -216,7 +216,7 @@
     public void follow(HostAddress host, boolean on) {
         Pool pool = pool(host);
         pool.followed = on;
-        pool.lifeline = new Lifeline(System.nanoTime());
+        pool.lifeline = new Lifeline(System.nanoTime(), limits.connectTimeout());
         if (on) {
             pool.look();
         }
@@ -342,7 +342,7 @@
         private boolean gone;
         /** When a line of it was closed to make room for another host's. */
         private long closedAt = Long.MIN_VALUE / 2;
-        private Lifeline lifeline = new Lifeline(System.nanoTime());
+        private Lifeline lifeline = new Lifeline(System.nanoTime(), limits.connectTimeout());
 
         private Pool(HostAddress address) {
             this.address = address;
@@ -429,7 +429,7 @@
         private void lost() {
             followed = false;
             words.clear();
-            lifeline = new Lifeline(System.nanoTime());
+            lifeline = new Lifeline(System.nanoTime(), limits.connectTimeout());
             notes.lost(address.id());
         }
 
