A try's answer that waits unread when its time is up is read first

RtspHostClient.setUp's timer ran before the sockets were read when it was due in that turn (Timer lets them be read only where it is over 15 ms late): an answer in the socket became a time-out, and a plan paid at set-up a failure. The line is read before the try is given up. Test: the loop is held up until just past the time, with the answer written; it failed before (TIMEOUT).

--- a/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
+++ b/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
@@ -136,7 +136,7 @@
     @Override
     public Call setUp(HostAddress host, SetUpOrder order, SetUpResult result) {
         Try t = new Try(order, result);
-        t.timer = after(order.maxWait(), () -> t.givenUp(t.sent != null ? Verdict.TIMEOUT : Verdict.NO_CONNECTION));
+        t.timer = after(order.maxWait(), t::timeUp);
         t.line = pool(host).pick(order.playback());
         if (t.line == null) {
             thread.execute(() -> t.cameBack(Verdict.NOT_SENT, LoadReport.NONE));
@@ -290,6 +290,14 @@
             }
         }
 
+        /** An answer that has come but waits unread is no time-out: it is read first. */
+        private void timeUp() {
+            if (line != null && line.up) {
+                line.duplex.readNow();
+            }
+            givenUp(sent != null ? Verdict.TIMEOUT : Verdict.NO_CONNECTION);
+        }
+
         /** The host is told before anything else can be sent; a line on which it said nothing since is of no use. */
         private void givenUp(Verdict verdict) {
             if (finish()) {
--- a/src/test/java/cypressvalve/host/rtsp/RtspHostClientTest.java
+++ b/src/test/java/cypressvalve/host/rtsp/RtspHostClientTest.java
@@ -82,7 +82,11 @@
     }
 
     private HostClient.Call setUp(String id) {
-        return client.setUp(host, new SetUpOrder(id, 0, "t", "paid", 2, 5_000_000_000L, "", "v=0\r\n".getBytes(
+        return setUp(id, 5_000_000_000L);
+    }
+
+    private HostClient.Call setUp(String id, long maxWait) {
+        return client.setUp(host, new SetUpOrder(id, 0, "t", "paid", 2, maxWait, "", "v=0\r\n".getBytes(
             StandardCharsets.UTF_8)), new HostClient.SetUpResult() {
                 @Override
                 public void started(LoadReport report) { }
@@ -291,4 +295,26 @@
             line.close();
         }
     }
+
+    /** The loop is held up until the time is just up; the answer came before that and waits unread. */
+    @Test
+    void anAnswerThatWaitsUnreadWhenItsTimeIsUpCounts() throws Exception {
+        LinkedBlockingQueue<Long> due = new LinkedBlockingQueue<>();
+        onLoop(() -> {
+            due.add(System.nanoTime() + 300_000_000L);
+            setUp("00000000000000aa", 300_000_000L);
+        });
+        try (Socket line = server.accept()) {
+            message(reader(line));
+            worker.getIoThread().execute(() -> {
+                try {
+                    say(line, "RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: 00000000000000aa", "mine");
+                    Thread.sleep(Math.max(0, (due.take() - System.nanoTime()) / 1_000_000 + 2));
+                } catch (IOException | InterruptedException e) {
+                    told.add(e.toString());
+                }
+            });
+            assertEquals("started 00000000000000aa mine", told.take());
+        }
+    }
 }
