--- a/src/main/java/cypressvalve/fleet/stream/StreamFollower.java
+++ b/src/main/java/cypressvalve/fleet/stream/StreamFollower.java
@@ -63,7 +63,7 @@
     /**
      * @param last the number of the last event that is known
      * @param taker takes each version once, in order
-     * @param log takes a line where an event or a stream was refused
+     * @param log takes a line for each stream and each event, and where one was refused
      */
     public StreamFollower(XnioIoThread thread, ByteBuffer buffer, InetSocketAddress address, long last, int cells,
         Set<String> kinds, RandomGenerator chance, Consumer<ListVersion> taker, Consumer<String> log) {
@@ -174,6 +174,7 @@
     private void take(ListVersion version) {
         if (version.version() > last) {
             last = version.version();
+            log.accept("list " + last + (version.whole() ? ", whole: " : ": ") + version.entries().size() + " hosts");
             taker.accept(version);
         }
     }
@@ -232,6 +233,7 @@
                 return;
             }
             heardAt = openedAt = System.nanoTime();
+            log.accept("the list is read at " + address + " after " + last);
             duplex = new Duplex(connection, buffer, MOST_QUEUED, this);
             duplex.start();
             duplex.write(("GET /v2/stream HTTP/1.1\r\nHost: " + address.getHostString() + ":" + address.getPort()
