An answer's description that ends within a line is no answer: its length was too small

Read: Rtsp.Reader.check lets blank lines follow a message, as RFC 2326 wants, so that a Content-Length that is too small by the last CR LF leaves a description without its end, taken as good. Where a viewer's description is of whole lines its answer has to be as well (RFC 8866); else the line is closed and the try is BROKEN. Offers of RtspHostClientTest lost their line ends, as its answers have none; the new test has both.

--- a/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
+++ b/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
@@ -668,7 +668,7 @@
             }
         }
 
-        private void take(Rtsp message) {
+        private void take(Rtsp message) throws Rtsp.Unreadable {
             if (message.status() >= 200) {
                 answered(message);
             } else if (message.status() == 0) {
@@ -676,7 +676,21 @@
             }
         }
 
-        private void answered(Rtsp message) {
+        /**
+         * Guards against a description whose last bytes a length that is a little too small has left out: what follows is
+         * then the end of a line, which may stand between messages. One of whole lines is answered by one of whole lines.
+         */
+        private void checkWhole(byte[] offered, byte[] described) throws Rtsp.Unreadable {
+            if (endsLine(offered) && !endsLine(described)) {
+                throw new Rtsp.Unreadable("a description that ends within a line");
+            }
+        }
+
+        private static boolean endsLine(byte[] text) {
+            return text != null && text.length > 0 && text[text.length - 1] == '\n';
+        }
+
+        private void answered(Rtsp message) throws Rtsp.Unreadable {
             LoadReport report = Occupancy.read(message.field("x-occupancy"));
             Test test = tests.get(message.session());
             Try t = tries.get(message.session());
@@ -691,6 +705,7 @@
             } else if (message.sequence() == TEARDOWN) {
                 said.removeIf(w -> w.word.session.equals(message.session()));
             } else if (message.sequence() == SET_UP && message.status() == 200) {
+                checkWhole(t.order.description(), message.body());
                 if (t.finish()) {
                     gaveUp.remove(message.session()); // A second copy must not end what plays.
                     t.result.started(report, message.body());
--- a/src/test/java/cypressvalve/host/rtsp/RtspHostClientTest.java
+++ b/src/test/java/cypressvalve/host/rtsp/RtspHostClientTest.java
@@ -86,7 +86,11 @@
     }
 
     private HostClient.Call setUp(String id, long maxWait) {
-        return client.setUp(host, new SetUpOrder(id, 0, "t", "paid", 2, maxWait, "", "v=0\r\n".getBytes(
+        return setUp(id, maxWait, "v=0");
+    }
+
+    private HostClient.Call setUp(String id, long maxWait, String offer) {
+        return client.setUp(host, new SetUpOrder(id, 0, "t", "paid", 2, maxWait, "", offer.getBytes(
             StandardCharsets.UTF_8)), new HostClient.SetUpResult() {
                 @Override
                 public void started(LoadReport report) { }
@@ -317,4 +321,16 @@
             assertEquals("started 00000000000000aa mine", told.take());
         }
     }
+
+    /** Its length is too small by the last line's end, which by itself may stand before a message. */
+    @Test
+    void anAnswerCutByItsLengthIsNotPassedOn() throws Exception {
+        onLoop(() -> setUp("00000000000000aa", 5_000_000_000L, "v=0\r\n"));
+        try (Socket line = server.accept()) {
+            message(reader(line));
+            line.getOutputStream().write(("RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: 00000000000000aa\r\nContent-Length: 4\r\n\r\n"
+                + "mine\r\n").getBytes(StandardCharsets.UTF_8));
+            assertEquals("back 00000000000000aa BROKEN", told.take());
+        }
+    }
 }
