A coordinator that can't be reached is looked for where the configuration says it is

Where a connection to the coordinator does not come up, StreamFollower now asks for its address, read from the configuration file: that also covers a start that read the file just before it was replaced. Test: no word comes, the old address refuses.

--- a/src/main/java/cypressvalve/fleet/stream/StreamFollower.java
+++ b/src/main/java/cypressvalve/fleet/stream/StreamFollower.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.xnio.IoFuture;
 import org.xnio.IoUtils;
@@ -46,6 +47,7 @@
     private final int cells;
     private final Set<String> kinds;
     private final RandomGenerator chance;
+    private final Supplier<InetSocketAddress> told;
     private final Consumer<ListVersion> taker;
     private final Consumer<String> log;
     private InetSocketAddress address;
@@ -62,11 +64,13 @@
 
     /**
      * @param last the number of the last event that is known
+     * @param told where the coordinator is said to be by now, null if that can't be read; asked where it can't be reached
      * @param taker takes each version once, in order
      * @param log takes a line for each stream and each event, and where one was refused
      */
     public StreamFollower(XnioIoThread thread, ByteBuffer buffer, InetSocketAddress address, long last, int cells,
-        Set<String> kinds, RandomGenerator chance, Consumer<ListVersion> taker, Consumer<String> log) {
+        Set<String> kinds, RandomGenerator chance, Supplier<InetSocketAddress> told, Consumer<ListVersion> taker,
+        Consumer<String> log) {
         this.thread = thread;
         this.buffer = buffer;
         this.address = address;
@@ -74,6 +78,7 @@
         this.cells = cells;
         this.kinds = kinds;
         this.chance = chance;
+        this.told = told;
         this.taker = taker;
         this.log = log;
     }
@@ -141,6 +146,8 @@
             Stream old = stream;
             thread.executeAfter(() -> {
                 if (!closed && stream == old) {
+                    InetSocketAddress now = old.duplex == null ? told.get() : null;
+                    address = now == null ? address : now;
                     stream = new Stream();
                 }
             }, 1 + (long) pause, TimeUnit.MILLISECONDS);
--- a/src/main/java/cypressvalve/run/PlatformNode.java
+++ b/src/main/java/cypressvalve/run/PlatformNode.java
@@ -16,11 +16,13 @@
 import cypressvalve.session.SessionCore;
 import cypressvalve.session.XnioLoop;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import java.util.random.RandomGeneratorFactory;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
@@ -82,10 +84,14 @@
     /**
      * Makes a gateway that does not listen yet.
      *
+     * @param coordinator where the coordinator is said to be by now, null if that can't be read: guards against a start
+     *     that read its configuration just before it was replaced, and against a word of it that never came, as to a
+     *     process that was started with that signal ignored
      * @param log takes lines for the operator
      * @param onFailure told once, on the loop, if its decisions fail
      */
-    public PlatformNode(PlatformSettings settings, Consumer<String> log, Consumer<Throwable> onFailure) {
+    public PlatformNode(PlatformSettings settings, Supplier<InetSocketAddress> coordinator, Consumer<String> log,
+        Consumer<Throwable> onFailure) {
         this.settings = settings;
         this.log = log;
         try {
@@ -105,7 +111,7 @@
             settings.connectTimeout(), 0, toOne), settings.idle(), settings.streams(), (int) (settings.sockets() * HOSTS_PART), buffer, notes);
         follower = new StreamFollower(thread, buffer, settings.coordinator(), settings.known().path("index").asLong(),
             settings.control().cells, settings.control().places.keySet(),
-            RandomGeneratorFactory.of("L64X128MixRandom").create(settings.seed() ^ 1),
+            RandomGeneratorFactory.of("L64X128MixRandom").create(settings.seed() ^ 1), coordinator,
             version -> this.listed(version), log);
         Clock clock = Clock.anchored();
         core = new SessionCore(new Titles(settings.shares()), settings.control(), settings.seed(), clock,
--- a/src/main/java/cypressvalve/run/Serve.java
+++ b/src/main/java/cypressvalve/run/Serve.java
@@ -3,6 +3,7 @@
 import cypressvalve.config.BadSettings;
 import cypressvalve.config.PlatformSettings;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
@@ -47,8 +48,8 @@
     /** Starts a gateway on a port of the system's and ends at once: what `build` archives the loaded classes of. */
     public static int archive(Map<String, String> environment) throws IOException {
         quiet();
-        PlatformNode node = new PlatformNode(PlatformSettings.read(Path.of(environment.get("NODE_CONFIG")), null), Serve::log,
-            cause -> { });
+        PlatformNode node = new PlatformNode(PlatformSettings.read(Path.of(environment.get("NODE_CONFIG")), null), () -> null,
+            Serve::log, cause -> { });
         node.start();
         return 0;
     }
@@ -57,7 +58,7 @@
         CountDownLatch over = new CountDownLatch(1);
         AtomicInteger code = new AtomicInteger();
         PlatformSettings settings = PlatformSettings.read(config, listen);
-        PlatformNode node = new PlatformNode(settings, Serve::log, cause -> {
+        PlatformNode node = new PlatformNode(settings, () -> coordinator(config, listen), Serve::log, cause -> {
             log("the decisions failed: " + cause);
             cause.printStackTrace();
             code.set(1);
@@ -81,6 +82,14 @@
         return code.get();
     }
 
+    private static InetSocketAddress coordinator(Path config, String listen) {
+        try {
+            return PlatformSettings.read(config, listen).coordinator();
+        } catch (BadSettings e) {
+            return null;
+        }
+    }
+
     private static void log(String line) {
         System.err.println(java.time.Instant.now() + " " + line);
     }
--- a/src/test/java/cypressvalve/fleet/stream/StreamFollowerTest.java
+++ b/src/test/java/cypressvalve/fleet/stream/StreamFollowerTest.java
@@ -17,6 +17,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Set;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.random.RandomGenerator;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -34,10 +35,11 @@
     private final ServerSocket coordinator = Loopback.server();
     private final XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
     private final LinkedBlockingQueue<ListVersion> taken = new LinkedBlockingQueue<>();
+    private final AtomicReference<InetSocketAddress> told = new AtomicReference<>();
     private final LinkedBlockingQueue<String> log = new LinkedBlockingQueue<>();
     private final LinkedBlockingQueue<String> current = new LinkedBlockingQueue<>();
     private final StreamFollower follower = new StreamFollower(worker.getIoThread(), ByteBuffer.allocate(4096),
-        address(coordinator), 1, 3, Set.of("std"), RandomGenerator.of("L64X128MixRandom"), taken::add, log::add);
+        address(coordinator), 1, 3, Set.of("std"), RandomGenerator.of("L64X128MixRandom"), told::get, taken::add, log::add);
 
     StreamFollowerTest() throws IOException { }
 
@@ -170,7 +172,7 @@
     void aMoveBeforeTheStartIsWhereItStarts() throws Exception {
         try (ServerSocket next = Loopback.server()) {
             StreamFollower other = new StreamFollower(worker.getIoThread(), ByteBuffer.allocate(4096), address(coordinator), 5, 3,
-                Set.of("std"), RandomGenerator.of("L64X128MixRandom"), taken::add, log::add);
+                Set.of("std"), RandomGenerator.of("L64X128MixRandom"), told::get, taken::add, log::add);
             LinkedBlockingQueue<String> failed = new LinkedBlockingQueue<>();
             worker.getIoThread().execute(() -> {
                 try {
@@ -192,4 +194,17 @@
         assertNotEquals(HostIds.of("east-12"), HostIds.of("west-12"));
         assertNotEquals(HostIds.of("s-1"), HostIds.of("s-01"));
     }
+
+    /** The word that it moved may never come, as to a process started with that signal ignored. */
+    @Test
+    void aCoordinatorThatCanNotBeReachedIsLookedForWhereItIsSaidToBe() throws Exception {
+        try (ServerSocket next = Loopback.server(); Socket first = asked(coordinator, 1)) {
+            say(first, OK + event(2, false, entry("a", "DRAINING", "std")));
+            taken.take();
+            told.set(address(next));
+            coordinator.close();
+            first.close();
+            asked(next, 2).close();
+        }
+    }
 }
--- a/src/test/java/cypressvalve/run/NodeScene.java
+++ b/src/test/java/cypressvalve/run/NodeScene.java
@@ -62,7 +62,7 @@
             }
         });
         answers.start();
-        node = new PlatformNode(settings(coordinator), log::add, cause -> log.add("failed " + cause));
+        node = new PlatformNode(settings(coordinator), () -> null, log::add, cause -> log.add("failed " + cause));
         node.start();
         answers.join();
     }
--- a/src/test/java/cypressvalve/run/PlatformEndsTest.java
+++ b/src/test/java/cypressvalve/run/PlatformEndsTest.java
@@ -267,7 +267,7 @@
             }
         });
         late.start();
-        PlatformNode other = new PlatformNode(settings(next), log::add, cause -> log.add("failed " + cause));
+        PlatformNode other = new PlatformNode(settings(next), () -> null, log::add, cause -> log.add("failed " + cause));
         Thread starts = new Thread(() -> {
             try {
                 other.start();
