What a host carried is over when the list says it has gone, whoever answers at its address

Read: a host dies, its line breaks, RtspHostClient opens another at once (again()); where its address was taken by then, the line reaches the new host, which answers tests, so that Lifeline never finds the old one lost, also after the list's word. That this host's address was taken is held likely, not shown: the log has no addresses. What a host that has gone carried is now over 1.5 s after that word. Test: the line is closed, the next one answers, then the list says gone; nothing was lost before.

--- a/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
+++ b/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
@@ -48,6 +48,11 @@
     private static final long UNREAD = 2_000_000_000L;
     /** A try's late or second answer is known by its line for so long; hosts are told how long we wait, which is less. */
     private static final long PAST = 30_000_000_000L;
+    /**
+     * A host that the list says has gone gets so long for its last words; then what it carried is over, whoever answers at
+     * its address: a line opened between its death and the list's word of it may have reached another.
+     */
+    private static final long LAST_WORDS = 1_500_000_000L;
     /** A line closed for want of room, where something plays, is opened again after this: ends must be heard in time. */
     private static final long AGAIN = 3_000_000_000L;
 
@@ -122,6 +127,7 @@
             if (old != null) {
                 pool.followed = old.followed;
                 pool.gone = old.gone;
+                pool.goneAt = old.goneAt;
                 old.retire();
             }
         }
@@ -206,6 +212,7 @@
         Pool pool = pools.get(host.id());
         if (pool != null && pool.gone != is) {
             pool.gone = is;
+            pool.goneAt = System.nanoTime();
             if (pool.followed) {
                 pool.look();
             }
@@ -348,6 +355,7 @@
         private boolean followed;
         /** The list says so: a connection to its address might reach another. */
         private boolean gone;
+        private long goneAt;
         /** When a line of it was closed to make room for another host's. */
         private long closedAt = Long.MIN_VALUE / 2;
         private Lifeline lifeline = new Lifeline(System.nanoTime(), limits.connectTimeout());
@@ -417,6 +425,10 @@
             if (line == null && gone) {
                 line = lines.stream().filter(l -> l.up).findFirst().orElse(null);
             }
+            if (gone && now - goneAt >= LAST_WORDS) {
+                lost();
+                return;
+            }
             if (line == null && now - closedAt < AGAIN) {
                 return;
             }
--- a/src/test/java/cypressvalve/host/rtsp/RtspHostClientTest.java
+++ b/src/test/java/cypressvalve/host/rtsp/RtspHostClientTest.java
@@ -333,4 +333,20 @@
             assertEquals("back 00000000000000aa BROKEN", told.take());
         }
     }
+
+    /** It died, a line opened at once reached another host at its address, and only then the list says that it has gone. */
+    @Test
+    void whatAHostCarriedIsOverThoughAnotherAnswersOnItsLine() throws Exception {
+        onLoop(() -> client.follow(host, true));
+        server.accept().close();
+        try (Socket other = server.accept()) {
+            BufferedReader in = reader(other);
+            onLoop(() -> client.probe(host, (verdict, report) -> told.add("probed " + verdict)));
+            String asked = message(in);
+            say(other, "RTSP/1.0 200 OK\r\nCSeq: 3\r\nSession: " + asked.replaceAll("(?s).*Session: ([0-9a-f]*).*", "$1"), "");
+            assertEquals("probed OK", told.take());
+            onLoop(() -> client.gone(host, true));
+            assertEquals("lost 7", told.take());
+        }
+    }
 }
