An end that comes before its hand-over counts for the host that said it alone

Found on a second reading: SessionCore kept such ends by session alone, so that another host's word of the same id would have ended a session handed over later. They are kept by host and session; test in PlatformEndsTest.

--- a/src/main/java/cypressvalve/run/PlatformNode.java
+++ b/src/main/java/cypressvalve/run/PlatformNode.java
@@ -108,7 +108,8 @@
         int toOne = (int) Math.max(1, Math.min(MOST_TO_A_HOST, settings.sockets() * HOSTS_PART / hosts / 2));
         LaterNotes notes = new LaterNotes();
         client = new RtspHostClient(thread, new HostLimits(settings.connectTimeout(),
-            settings.connectTimeout(), 0, toOne), settings.idle(), settings.streams(), (int) (settings.sockets() * HOSTS_PART), buffer, notes);
+            settings.connectTimeout(), 0, toOne), settings.idle(), settings.streams(),
+            (int) (settings.sockets() * HOSTS_PART), buffer, notes);
         follower = new StreamFollower(thread, buffer, settings.coordinator(), settings.known().path("index").asLong(),
             settings.control().cells, settings.control().places.keySet(),
             RandomGeneratorFactory.of("L64X128MixRandom").create(settings.seed() ^ 1), coordinator,
--- a/src/main/java/cypressvalve/session/SessionCore.java
+++ b/src/main/java/cypressvalve/session/SessionCore.java
@@ -64,7 +64,7 @@
     private final Map<SetupTry, HostClient.Call> calls = new HashMap<>();
     private final Map<Long, Integer> playingAt = new HashMap<>();
     /**
-     * Ends told of sessions that are not here, the last few: a host says what ended before this gateway's start as soon as
+     * Ends told of sessions that are not here, by host and session, the last few: a host says what ended before this gateway's start as soon as
      * a connection comes up, and that may be before the front hands the session over.
      */
     private final Map<String, Verdict> endsBefore = new LinkedHashMap<>() {
@@ -435,7 +435,7 @@
         String id = ask.offer().id();
         Session session = standing(id, ask, host, id + ".0");
         session.watching = watching;
-        Verdict over = endsBefore.remove(id);
+        Verdict over = endsBefore.remove(host.id + " " + id);
         if (over != null) {
             ended(host.id, id, over);
         }
@@ -479,7 +479,7 @@
     public void ended(long host, String name, Verdict verdict) {
         Session session = at(host, name);
         if (session == null && !sessions.containsKey(name)) {
-            endsBefore.put(name, verdict);
+            endsBefore.put(host + " " + name, verdict);
         } else if (session != null) {
             ended(session, verdict == Verdict.OK ? Session.End.SILENT : verdict == Verdict.WITHDRAWN
                 ? Session.End.LEFT : Session.End.HOST_LOST, verdict);
--- a/src/test/java/cypressvalve/run/PlatformEndsTest.java
+++ b/src/test/java/cypressvalve/run/PlatformEndsTest.java
@@ -164,6 +164,20 @@
         }
     }
 
+    /** What another host says of that name is not this session's end. */
+    @Test
+    void anEndThatAnotherHostSaidBeforeTheHandOverIsNotTheSessions() throws Exception {
+        try (Socket viewer = viewer(); Socket other = viewer()) {
+            Socket line = stands(other, 7);
+            BufferedReader in = reader(line);
+            end(line, "0000000000000008", 41);
+            assertTrue(head(in).startsWith("RTSP/1.0 200"));
+            settled(other);
+            viewer.getOutputStream().write(setUp(8, "a", HOME + ";at:h-2"));
+            settled(viewer);
+        }
+    }
+
     private static String event(int number, String state, long startedMs) {
         return "id: " + number + "\ndata: {\"index\":" + number + ",\"endpoints\":{\"generation\":2,\"reset\":false,\"instances\":["
             + "{\"instanceId\":\"h-1\",\"hostPort\":\"127.0.0.1:PORT\",\"zone\":\"z\",\"machineType\":\"std\",\"cell\":0,\"lifecycle\":\""
