A real gateway between emulated parties shows attempts that overlap; events by request

Users saw two attempts of one request out at once (38 and 4 processes), by 46 to 108 ms. Candidates from their records: a cancel held back by the sender (Nagle's algorithm with delayed acknowledgements: connections to media hosts were opened without TCP_NODELAY), a cancel in a write queue, a host that reads late, a process that stands still between two writes. The log could tell none of them apart.

Without any fault a host takes the next attempt 38 us to 2.7 ms before the last one's host has read its cancel, as the gateway sends both in one turn on two connections; where a host reads late, by as much as that. The log now names the port that was bound.

--- /dev/null
+++ b/src/main/java/cypressvalve/diagnostics/EventKind.java
@@ -0,0 +1,37 @@
+package cypressvalve.diagnostics;
+
+/** What an entry of the {@link EventLog} tells of. */
+public enum EventKind {
+    /** A client's connection was accepted. */
+    CLIENT_CONNECTED,
+    /** A client's connection was closed; the detail says why. */
+    CLIENT_CLOSED,
+    /** A set-up request was read whole. */
+    REQUEST_RECEIVED,
+    /** A request was answered before it reached the session core; the detail is the cause sent. */
+    REQUEST_REFUSED,
+    /** A request got its final answer; the detail is the message type and cause. */
+    REQUEST_ANSWERED,
+    /** The client cancelled its request or closed its connection. */
+    REQUEST_CANCELLED,
+    /** A session that played is over; the detail says why. */
+    SESSION_ENDED,
+    /** A set-up was written to a connection to a media host. */
+    ATTEMPT_SENT,
+    /** An attempt was given up before its answer; the detail says why. */
+    ATTEMPT_CANCELLED,
+    /** An attempt's result was reported; the detail is the verdict. */
+    ATTEMPT_ENDED,
+    /** A connection to a media host was begun. */
+    HOST_CONNECTING,
+    /** A connection to a media host came up. */
+    HOST_CONNECTED,
+    /** A connection to a media host was closed or never came up; the detail says why. */
+    HOST_CLOSED,
+    /** A media host counts as lost with all that it carried. */
+    HOST_LOST,
+    /** Something that concerns discovery; the detail says what. */
+    DISCOVERY,
+    /** A state of the process: signals, phases of shutdown, an invariant that was broken. */
+    PROCESS
+}
--- a/src/main/java/cypressvalve/front/signal/SignalFront.java
+++ b/src/main/java/cypressvalve/front/signal/SignalFront.java
@@ -1,5 +1,7 @@
 package cypressvalve.front.signal;
 
+import cypressvalve.diagnostics.EventKind;
+import cypressvalve.diagnostics.EventLog;
 import cypressvalve.model.Settings;
 import cypressvalve.net.Duplex;
 import cypressvalve.session.Answer;
@@ -57,6 +59,9 @@
     private final int mostConnections;
     private final ByteBuffer buffer;
     private final Executor turn;
+    private final EventLog events;
+    /** Connections accepted so far; numbers them in the event log. */
+    private long accepted;
     /**
      * Set-ups read in this turn of the loop, by session: they go on with the next, once all that came was read. Their
      * viewers may have left meanwhile, and connections are read in any order.
@@ -95,15 +100,17 @@
      * @param mostConnections held at once
      * @param buffer what is read into, shared by the thread's connections
      * @param turn runs what it is given in the loop's next turn
+     * @param events takes what happens to connections and requests
      */
     public SignalFront(SessionCore core, Settings settings, ToLongFunction<String> hosts, int mostConnections,
-        ByteBuffer buffer, Executor turn) {
+        ByteBuffer buffer, Executor turn, EventLog events) {
         this.core = core;
         this.settings = settings;
         this.hosts = hosts;
         this.mostConnections = mostConnections;
         this.buffer = buffer;
         this.turn = turn;
+        this.events = events;
     }
 
     /** Whether tests are passed, while the core serves. */
@@ -115,6 +122,7 @@
     public void accept(StreamConnection connection) {
         if (all.size() >= mostConnections && !evict()) {
             org.xnio.IoUtils.safeClose(connection);
+            events.record(EventKind.CLIENT_CLOSED, "no room for one more");
             return;
         }
         Viewers viewers = new Viewers(connection);
@@ -126,13 +134,13 @@
     private boolean evict() {
         for (Viewers v : List.copyOf(all)) {
             if (!v.heard && v.stillSo(o -> !o.heard)) {
-                v.end();
+                v.end("room: said nothing whole");
                 return true;
             }
         }
         for (Viewers v : List.copyOf(all)) {
             if (v.idle() && v.stillSo(Viewers::idle)) {
-                v.end();
+                v.end("room: idle");
                 return true;
             }
         }
@@ -144,7 +152,7 @@
         long now = core.clock().now();
         for (Viewers v : List.copyOf(all)) {
             if (v.unheard(now) && v.stillSo(o -> o.unheard(now))) {
-                v.end();
+                v.end("silent");
             }
         }
         owed.values().removeIf(o -> now - o.since > OWED);
@@ -181,6 +189,7 @@
         List.copyOf(all).forEach(v -> v.duplex.readNow());
         askFresh();
         for (Viewers v : List.copyOf(all)) {
+            v.note(EventKind.CLIENT_CLOSED, "shutdown");
             v.duplex.finish();
             if (v.duplex.flushed()) {
                 all.remove(v);
@@ -250,6 +259,7 @@
 
     /** One connection and what is open on it. */
     private final class Viewers implements Duplex.Taker {
+        private final long number = ++accepted;
         private final Duplex duplex;
         private final Signal.Reader reader = new Signal.Reader();
         private final Set<Waiting> open = new HashSet<>();
@@ -265,6 +275,15 @@
 
         private Viewers(StreamConnection connection) {
             duplex = new Duplex(connection, buffer, MOST_QUEUED, this);
+            note(EventKind.CLIENT_CONNECTED, null);
+        }
+
+        private void note(EventKind kind, Object detail) {
+            events.record(kind, null, number, EventLog.NONE, detail);
+        }
+
+        private void note(EventKind kind, long request, Object detail) {
+            events.record(kind, Signal.id(request), number, EventLog.NONE, detail);
         }
 
         private boolean idle() {
@@ -284,7 +303,8 @@
             return all.contains(this) && what.test(this);
         }
 
-        private void end() {
+        private void end(String why) {
+            note(EventKind.CLIENT_CLOSED, why);
             gone(true);
             close();
         }
@@ -312,6 +332,7 @@
 
         @Override
         public void closed() {
+            note(EventKind.CLIENT_CLOSED, "by the client, or broken");
             gone(true);
         }
 
@@ -326,6 +347,7 @@
                     signal = reader.next(data);
                 }
             } catch (Signal.Unreadable e) {
+                note(EventKind.CLIENT_CLOSED, e.getMessage());
                 gone(false);
                 duplex.finish();
             }
@@ -357,6 +379,7 @@
             try {
                 wish = Wish.read(signal, settings);
             } catch (Wish.Refused e) {
+                note(EventKind.REQUEST_REFUSED, signal.session(), e.cause());
                 duplex.write(Signal.message(Signal.RELEASE, signal.session(), e.cause()));
                 return;
             }
@@ -366,15 +389,18 @@
                 handOver(wish, signal, there);
             } else if (twin != null && twin.viewers != this) {
                 // One of them is no viewer, and which came first can't be told: neither is served by the other's word.
+                note(EventKind.REQUEST_REFUSED, signal.session(), "same id on two connections");
                 twin.rejected(0);
                 duplex.write(Signal.message(Signal.RELEASE, signal.session(), NO_ROOM));
             } else if (there != null || twin != null || used.containsKey(signal.session())) {
                 // An id is used once: who uses another's, or its own again, is no viewer.
                 throw new Signal.Unreadable("an id that was used");
             } else if (open.size() >= MOST_OPEN) {
+                note(EventKind.REQUEST_REFUSED, signal.session(), "too many open on the connection");
                 duplex.write(Signal.message(Signal.RELEASE, signal.session(), NO_ROOM));
             } else {
                 usual();
+                note(EventKind.REQUEST_RECEIVED, signal.session(), null);
                 Waiting waiting = new Waiting(this, signal.session(), wish.ask());
                 open.add(waiting);
                 use(signal.session());
@@ -446,6 +472,7 @@
                 answered = true;
                 viewers.open.remove(this);
                 viewers.duplex.write(message);
+                viewers.note(EventKind.REQUEST_ANSWERED, id, session == null ? null : session.state());
             }
         }
 
@@ -453,6 +480,7 @@
             if (!answered) {
                 answered = true;
                 viewers.open.remove(this);
+                viewers.note(EventKind.REQUEST_CANCELLED, id, null);
                 if (session != null) {
                     core.hungUp(session, this);
                 }
@@ -484,6 +512,7 @@
         public void ended(Session ended) {
             viewers.standing.remove(this);
             viewers.usedAt = core.clock().now();
+            viewers.note(EventKind.SESSION_ENDED, id, ended.end());
             if (ended.end() == Session.End.LEFT) {
                 return; // By its viewer's word, heard here or at the media host: it knows.
             }
--- a/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
+++ b/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
@@ -1,5 +1,7 @@
 package cypressvalve.host.rtsp;
 
+import cypressvalve.diagnostics.EventKind;
+import cypressvalve.diagnostics.EventLog;
 import cypressvalve.host.Carried;
 import cypressvalve.host.HostAddress;
 import cypressvalve.host.HostClient;
@@ -63,6 +65,9 @@
     private final long idle;
     private final int streams;
     private final int mostLines;
+    private final EventLog events;
+    /** Connections begun so far; numbers them in the event log. */
+    private long begun;
     /** Lines held to all hosts, those that are not up yet counted. */
     private int held;
     /** By host, as long as it has connections or is followed. */
@@ -76,9 +81,10 @@
      * @param streams set-ups that one connection may have open
      * @param mostLines connections to all hosts together
      * @param buffer what is read into, shared by the thread's connections
+     * @param events takes what happens to connections and attempts
      */
     public RtspHostClient(XnioIoThread thread, HostLimits limits, long idle, int streams, int mostLines, ByteBuffer buffer,
-        Notes notes) {
+        Notes notes, EventLog events) {
         this.thread = thread;
         this.limits = limits;
         this.idle = idle;
@@ -86,6 +92,7 @@
         this.mostLines = mostLines;
         this.buffer = buffer;
         this.notes = notes;
+        this.events = events;
         sweepLater();
     }
 
@@ -112,7 +119,7 @@
             .filter(l -> l.up && l.unused() && l.duplex.flushed())
             .min(Comparator.comparing((Line l) -> l.pool.followed).thenComparingLong(l -> l.usedAt)).orElse(null);
         if (least != null) {
-            least.close();
+            least.close("room for another host");
             least.pool.closedAt = System.nanoTime();
         }
         return least != null;
@@ -203,7 +210,8 @@
     public void freeLinks(HostAddress host) {
         Pool pool = pools.get(host.id());
         if (pool != null) {
-            List.copyOf(pool.lines).stream().filter(Line::unused).skip(pool.followed ? 1 : 0).forEach(Line::close);
+            List.copyOf(pool.lines).stream().filter(Line::unused).skip(pool.followed ? 1 : 0)
+                .forEach(l -> l.close("no longer wanted"));
         }
     }
 
@@ -268,11 +276,13 @@
                 "X-Quality: " + order.rung());
         }
 
-        private boolean finish() {
+        private boolean finish(Verdict verdict) {
             if (done) {
                 return false;
             }
             done = true;
+            events.record(EventKind.ATTEMPT_ENDED, order.playback(), line == null ? EventLog.NONE : line.number,
+                line == null ? EventLog.NONE : line.pool.address.id(), verdict);
             timer.cancel();
             if (line != null) {
                 line.tries.remove(order.playback(), this);
@@ -291,7 +301,7 @@
 
         /** Guards against a set-up that leaves after its playback's answer, as its connection comes up just then. */
         private void withdraw() {
-            if (finish()) {
+            if (finish(Verdict.WITHDRAWN)) {
                 Verdict verdict = stop() ? Verdict.WITHDRAWN : Verdict.NOT_SENT;
                 thread.execute(() -> result.cameBack(verdict, LoadReport.NONE));
             }
@@ -307,7 +317,7 @@
 
         /** The host is told before anything else can be sent; a line on which it said nothing since is of no use. */
         private void givenUp(Verdict verdict) {
-            if (finish()) {
+            if (finish(verdict)) {
                 boolean left = stop();
                 if (left && line.heardAt < until - order.maxWait()) {
                     line.retired = true;
@@ -317,7 +327,7 @@
         }
 
         private void cameBack(Verdict verdict, LoadReport report) {
-            if (finish()) {
+            if (finish(verdict)) {
                 result.cameBack(verdict, report);
             }
         }
@@ -450,6 +460,7 @@
             followed = false;
             words.clear();
             lifeline = new Lifeline(System.nanoTime(), limits.connectTimeout());
+            events.record(EventKind.HOST_LOST, null, EventLog.NONE, address.id(), gone ? "gone from the list" : "unreachable");
             notes.lost(address.id());
         }
 
@@ -464,7 +475,7 @@
                 line.said.removeIf(w -> now - w.at > UNREAD);
                 boolean spare = line.retired ? now - line.usedAt > RETIRED : !followed && now - line.usedAt > idle * IDLE_PART;
                 if (line.up && line.unused() && spare) {
-                    line.close();
+                    line.close(line.retired ? "retired" : "idle");
                     again();
                 }
             }
@@ -476,13 +487,14 @@
         private void retire() {
             followed = false;
             lines.forEach(l -> l.retired = true);
-            List.copyOf(lines).stream().filter(Line::unused).forEach(Line::close);
+            List.copyOf(lines).stream().filter(Line::unused).forEach(l -> l.close("address replaced"));
         }
     }
 
     /** One connection to a media host. */
     private final class Line implements Duplex.Taker {
         private final Pool pool;
+        private final long number = ++begun;
         private final Map<String, Try> tries = new LinkedHashMap<>();
         private final Map<String, Test> tests = new LinkedHashMap<>();
         /** Set-ups given up on this line, and when: an answer may still come. */
@@ -507,6 +519,7 @@
             this.pool = pool;
             pool.lines.add(this);
             held++;
+            note(EventKind.HOST_CONNECTING, null);
             connecting = thread.openStreamConnection(
                 new InetSocketAddress(pool.address.host(), pool.address.port()), this::opened, OptionMap.EMPTY);
             timer = after(limits.connectTimeout(), this::unreached);
@@ -524,6 +537,7 @@
                 return;
             }
             up = true;
+            note(EventKind.HOST_CONNECTED, null);
             duplex = new Duplex(connection, buffer, MOST_QUEUED, this);
             duplex.start();
             pool.lifeline.connected(System.nanoTime());
@@ -540,6 +554,7 @@
                 return;
             }
             over = true;
+            note(EventKind.HOST_CLOSED, "never came up");
             timer.cancel();
             connecting.cancel();
             dropped();
@@ -575,6 +590,8 @@
         private void send(Try t) {
             t.sent = t.message();
             write(t.sent);
+            events.record(EventKind.ATTEMPT_SENT, t.order.playback(), number, pool.address.id(),
+                duplex.flushed() ? null : "queued");
         }
 
         private void ask(Test test, String what) {
@@ -593,6 +610,7 @@
         private void gaveUp(String id) {
             gaveUp.put(id, System.nanoTime());
             write(teardown(id, -1));
+            events.record(EventKind.ATTEMPT_CANCELLED, id, number, pool.address.id(), duplex.flushed() ? null : "queued");
         }
 
         private void say(Word word) {
@@ -641,11 +659,16 @@
             }
         }
 
-        private void close() {
+        private void close(String why) {
+            note(EventKind.HOST_CLOSED, why);
             duplexClose();
             dropped();
         }
 
+        private void note(EventKind kind, String detail) {
+            events.record(kind, null, number, pool.address.id(), detail);
+        }
+
         /** All that is open on the line ends so; what was sent may have run. */
         private void ended(Verdict verdict) {
             List.copyOf(tries.values()).forEach(t -> t.cameBack(t.sent != null && duplex.takeBack(t.sent) ? Verdict.NOT_SENT
@@ -656,6 +679,7 @@
         @Override
         public void closed() {
             over = true;
+            note(EventKind.HOST_CLOSED, "by the host, or broken");
             dropped();
             sayAgain();
             ended(Verdict.BROKEN);
@@ -673,7 +697,7 @@
                     message = reader.next(data);
                 }
             } catch (Rtsp.Unreadable e) {
-                close();
+                close(e.getMessage());
                 sayAgain();
                 ended(Verdict.BROKEN);
                 pool.again();
@@ -718,7 +742,7 @@
                 said.removeIf(w -> w.word.session.equals(message.session()));
             } else if (message.sequence() == SET_UP && message.status() == 200) {
                 checkWhole(t.order.description(), message.body());
-                if (t.finish()) {
+                if (t.finish(Verdict.OK)) {
                     gaveUp.remove(message.session()); // A second copy must not end what plays.
                     t.result.started(report, message.body());
                 }
--- a/src/main/java/cypressvalve/run/PlatformNode.java
+++ b/src/main/java/cypressvalve/run/PlatformNode.java
@@ -3,6 +3,8 @@
 import cypressvalve.admission.Gate;
 import cypressvalve.config.BadSettings;
 import cypressvalve.config.PlatformSettings;
+import cypressvalve.diagnostics.EventKind;
+import cypressvalve.diagnostics.EventLog;
 import cypressvalve.fleet.membership.ListVersion;
 import cypressvalve.fleet.stream.Change;
 import cypressvalve.fleet.stream.HostIds;
@@ -67,6 +69,13 @@
     private static final long NO_DESCRIPTOR_MS = 100;
     private static final long COMPLAIN_EVERY = 10 * SECOND;
 
+    /** Events kept for the time after a failure: the last seconds of a busy gateway. */
+    private static final int EVENTS_KEPT = 2048;
+    /** Events written to the log as this process ends on its own. */
+    private static final int EVENTS_WRITTEN = 64;
+    /** For looking into a failure: each event goes to the log at once. */
+    private static final boolean LIVE_EVENTS = Boolean.getBoolean("cypressvalve.events");
+
     private final PlatformSettings settings;
     private final XnioWorker worker;
     private final XnioIoThread thread;
@@ -76,6 +85,7 @@
     private final StreamFollower follower;
     private final Consumer<String> log;
     private final Counts counts = new Counts();
+    private final EventLog events;
     private int sweeps;
     private boolean ending;
     private long complainedAt = Long.MIN_VALUE / 2;
@@ -94,6 +104,7 @@
         Consumer<Throwable> onFailure) {
         this.settings = settings;
         this.log = log;
+        events = new EventLog(EVENTS_KEPT, LIVE_EVENTS ? log : null);
         try {
             worker = Xnio.getInstance().createWorker(OptionMap.builder().set(Options.WORKER_NAME, "gateway")
                 .set(Options.WORKER_IO_THREADS, 1).set(Options.WORKER_TASK_CORE_THREADS, 1)
@@ -109,18 +120,24 @@
         LaterNotes notes = new LaterNotes();
         client = new RtspHostClient(thread, new HostLimits(settings.connectTimeout(),
             settings.connectTimeout(), 0, toOne), settings.idle(), settings.streams(),
-            (int) (settings.sockets() * HOSTS_PART), buffer, notes);
+            (int) (settings.sockets() * HOSTS_PART), buffer, notes, events);
         follower = new StreamFollower(thread, buffer, settings.coordinator(), settings.known().path("index").asLong(),
             settings.control().cells, settings.control().places.keySet(),
             RandomGeneratorFactory.of("L64X128MixRandom").create(settings.seed() ^ 1), coordinator,
-            version -> this.listed(version), log);
+            version -> this.listed(version), line -> {
+                log.accept(line);
+                events.record(EventKind.DISCOVERY, line);
+            });
         Clock clock = Clock.anchored();
         core = new SessionCore(new Titles(settings.shares()), settings.control(), settings.seed(), clock,
             new XnioLoop(thread), client, follower, MOST_SESSIONS, new Gate.Limits(MOST_OPEN, LATE), counts,
-            onFailure);
+            cause -> {
+                events.writeTo(log, EVENTS_KEPT);
+                onFailure.accept(cause);
+            });
         notes.core = core;
         front = new SignalFront(core, settings.control(), HostIds::of, (int) (settings.sockets() * VIEWERS_PART), buffer,
-            thread::execute);
+            thread::execute, events);
     }
 
     private void listed(ListVersion version) {
@@ -226,6 +243,7 @@
         thread.execute(() -> {
             if (!ending) {
                 ending = true;
+                events.record(EventKind.PROCESS, "shutdown begins");
                 front.ready(false);
                 drained(core.clock().now(), done);
             }
@@ -236,6 +254,7 @@
         thread.executeAfter(() -> {
             long since = core.clock().now() - begun;
             if (since >= STILL_SENDS && core.healthy()) {
+                events.record(EventKind.PROCESS, "new requests are refused from now on");
                 core.drain(() -> { });
                 core.answerBy(begun + ANSWERED);
             }
@@ -250,6 +269,8 @@
 
     /** What has come unread is refused, and nothing is left in a write queue: a process that ends takes it along. */
     private void lastWords(Runnable done) {
+        events.record(EventKind.PROCESS, "connections are closed; opening " + core.held(Session.State.OPENING) + ", playing "
+            + core.held(Session.State.PLAYING));
         if (server != null) {
             accept(server);
             IoUtils.safeClose(server);
@@ -260,6 +281,9 @@
 
     private void lastWords(long until, Runnable done) {
         if (front.connections() == 0 || core.clock().now() >= until) {
+            if (!LIVE_EVENTS) {
+                events.writeTo(log, EVENTS_WRITTEN);
+            }
             done.run();
         } else {
             thread.executeAfter(() -> lastWords(until, done), 5, TimeUnit.MILLISECONDS);
--- a/src/main/java/cypressvalve/run/Serve.java
+++ b/src/main/java/cypressvalve/run/Serve.java
@@ -77,7 +77,7 @@
             node.drain(over::countDown);
         });
         node.start();
-        log("gateway " + settings.name() + " listens on " + settings.listen());
+        log("gateway " + settings.name() + " listens on " + settings.listen().getHostString() + ":" + node.port());
         over.await();
         return code.get();
     }
--- /dev/null
+++ b/src/main/java/cypressvalve/soak/ClientEmulator.java
@@ -0,0 +1,144 @@
+package cypressvalve.soak;
+
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * One client connection of the platform: writes set-ups as binary messages and records what comes back. Its codec is
+ * its own and shared with no code of the gateway.
+ */
+public final class ClientEmulator implements AutoCloseable {
+    private static final int SET_UP = 1;
+    private static final int ANSWER = 9;
+    private static final int RELEASE = 12;
+    private static final int CLASS = 129;
+    private static final int PATIENCE = 132;
+    private static final int TENANT = 135;
+    private static final int TITLE = 141;
+    private static final int FIGURES = 144;
+    private static final int HINT = 159;
+    private static final int CAUSE = 171;
+    private static final int DESCRIPTION = 174;
+    /** Q.850: normal clearing, which cancels a set-up that is open. */
+    private static final int NORMAL = 16;
+    private static final int HEAD_BYTES = 9;
+    private static final int CONNECT_MILLIS = 2_000;
+
+    /**
+     * A set-up as a client words it.
+     *
+     * @param id not used by any other request
+     * @param patienceMillis how long the client waits for the answer
+     * @param copies how many media hosts hold the title, counted from the first
+     */
+    public record SetUp(long id, String plan, String tenant, String title, int patienceMillis, int copies) { }
+
+    private final String name;
+    private final EventRecord record;
+    private final Socket socket;
+    private final DataOutputStream out;
+    private final Set<Long> standing = ConcurrentHashMap.newKeySet();
+    private volatile boolean closing;
+
+    /** Connects; throws where the gateway does not accept. */
+    public ClientEmulator(String name, InetSocketAddress gateway, EventRecord record) throws IOException {
+        this.name = name;
+        this.record = record;
+        socket = new Socket();
+        socket.setTcpNoDelay(true);
+        socket.connect(gateway, CONNECT_MILLIS);
+        out = new DataOutputStream(socket.getOutputStream());
+        Thread reader = new Thread(this::read, "client " + name);
+        reader.setDaemon(true);
+        reader.start();
+    }
+
+    /** Writes a set-up; throws where the connection has ended. */
+    public void send(SetUp request) throws IOException {
+        ByteArrayOutputStream parameters = new ByteArrayOutputStream();
+        parameter(parameters, CLASS, request.plan());
+        parameter(parameters, PATIENCE, String.valueOf(request.patienceMillis()));
+        parameter(parameters, TENANT, request.tenant());
+        parameter(parameters, TITLE, request.title());
+        parameter(parameters, HINT, "8000.0");
+        parameter(parameters, FIGURES, "home:0;copies:" + request.copies() + ";top:4;viewer:" + id(request.id()));
+        parameter(parameters, DESCRIPTION, "v=0 " + id(request.id()));
+        write(SET_UP, request.id(), parameters.toByteArray());
+        record.add(Event.Kind.REQUEST_SENT, name, id(request.id()), String.valueOf(request.patienceMillis()));
+    }
+
+    /** Cancels a request that is open. */
+    public void cancel(long id) throws IOException {
+        write(RELEASE, id, new byte[] {(byte) CAUSE, 0, 1, NORMAL});
+        record.add(Event.Kind.REQUEST_CANCELLED, name, id(id), "");
+    }
+
+    private static void parameter(ByteArrayOutputStream to, int code, String value) {
+        byte[] bytes = value.getBytes(StandardCharsets.UTF_8);
+        to.write(code);
+        to.write(bytes.length >> 8);
+        to.write(bytes.length);
+        to.writeBytes(bytes);
+    }
+
+    private synchronized void write(int type, long id, byte[] parameters) throws IOException {
+        ByteArrayOutputStream message = new ByteArrayOutputStream();
+        DataOutputStream data = new DataOutputStream(message);
+        data.writeShort(HEAD_BYTES + parameters.length);
+        data.writeByte(type);
+        data.writeLong(id);
+        data.write(parameters);
+        out.write(message.toByteArray());
+    }
+
+    private static String id(long id) {
+        return String.format("%016x", id);
+    }
+
+    private void read() {
+        try {
+            DataInputStream in = new DataInputStream(new java.io.BufferedInputStream(socket.getInputStream()));
+            while (true) {
+                byte[] message = new byte[in.readUnsignedShort()];
+                in.readFully(message);
+                take(new DataInputStream(new java.io.ByteArrayInputStream(message)));
+            }
+        } catch (IOException e) {
+            if (!closing) {
+                record.add(Event.Kind.CONNECTION_ENDED, name, "", e.getClass().getSimpleName());
+            }
+        }
+    }
+
+    private void take(DataInputStream message) throws IOException {
+        int type = message.readUnsignedByte();
+        long id = message.readLong();
+        int code = message.available() > 0 ? message.readUnsignedByte() : -1;
+        byte[] value = code < 0 ? new byte[0] : message.readNBytes(message.readUnsignedShort());
+        if (type == ANSWER) {
+            standing.add(id);
+            record.add(Event.Kind.ANSWER_SERVED, name, id(id), new String(value, StandardCharsets.UTF_8));
+        } else if (type == RELEASE) {
+            Event.Kind kind = standing.remove(id) ? Event.Kind.RELEASE_READ : Event.Kind.ANSWER_REFUSED;
+            record.add(kind, name, id(id), code == CAUSE && value.length == 1 ? String.valueOf(value[0]) : "");
+        }
+    }
+
+    /** Whether the gateway has ended the connection, as far as this side has read. */
+    public boolean ended() {
+        return record.events().stream().anyMatch(e -> e.kind() == Event.Kind.CONNECTION_ENDED && e.party().equals(name));
+    }
+
+    @Override
+    public void close() throws IOException {
+        closing = true;
+        socket.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/cypressvalve/soak/Event.java
@@ -0,0 +1,38 @@
+package cypressvalve.soak;
+
+/**
+ * One thing that a party outside the gateway saw or did.
+ *
+ * @param atMicros when, in microseconds of the record's clock
+ * @param kind what
+ * @param party the client connection, media host or gateway that it concerns
+ * @param request the request's id of 16 hex digits; empty if it concerns none
+ * @param detail what the kind leaves open, such as the type and cause of an answer; empty if nothing
+ */
+public record Event(long atMicros, Kind kind, String party, String request, String detail) {
+    /** What happened. */
+    public enum Kind {
+        /** A client wrote a request's last byte. */
+        REQUEST_SENT,
+        /** A client read a whole answer: the session stands. */
+        ANSWER_SERVED,
+        /** A client read a whole refusal or failure. */
+        ANSWER_REFUSED,
+        /** A client read that its session is over. */
+        RELEASE_READ,
+        /** A client cancelled its request or closed its connection. */
+        REQUEST_CANCELLED,
+        /** A client's connection ended from the gateway's side. */
+        CONNECTION_ENDED,
+        /** A media host read a whole set-up: an attempt is out. */
+        ATTEMPT_BEGUN,
+        /** A media host wrote the attempt's end, or read that it was cancelled, or read the end of its connection. */
+        ATTEMPT_ENDED,
+        /** A media host served the attempt. */
+        ATTEMPT_SERVED,
+        /** The gateway process was sent a signal. */
+        SIGNAL,
+        /** The gateway process ended; the detail is its exit code. */
+        PROCESS_ENDED
+    }
+}
--- /dev/null
+++ b/src/main/java/cypressvalve/soak/EventRecord.java
@@ -0,0 +1,58 @@
+package cypressvalve.soak;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+/** All that the parties outside the gateway saw and did, on one clock. Safe for use by many threads. */
+public final class EventRecord {
+    private static final long NANOS_PER_MICRO = 1_000;
+
+    private final long start = System.nanoTime();
+    private final List<Event> events = new ArrayList<>();
+
+    /** Microseconds since this record was begun. */
+    public long now() {
+        return (System.nanoTime() - start) / NANOS_PER_MICRO;
+    }
+
+    /** Adds what happens now. */
+    public void add(Event.Kind kind, String party, String request, String detail) {
+        add(now(), kind, party, request, detail);
+    }
+
+    /** Adds what happened at that time, in microseconds of {@link #now}. */
+    public synchronized void add(long atMicros, Event.Kind kind, String party, String request, String detail) {
+        events.add(new Event(atMicros, kind, party, request, detail));
+        notifyAll();
+    }
+
+    /** A copy, in order of time. */
+    public synchronized List<Event> events() {
+        List<Event> sorted = new ArrayList<>(events);
+        sorted.sort(Comparator.comparingLong(Event::atMicros));
+        return sorted;
+    }
+
+    /** How many events of that kind there are. */
+    public synchronized long count(Event.Kind kind) {
+        return events.stream().filter(e -> e.kind() == kind).count();
+    }
+
+    /**
+     * Waits until there are so many events of that kind.
+     *
+     * @return false if they did not come in that time
+     */
+    public synchronized boolean await(Event.Kind kind, long wanted, long mostMillis) throws InterruptedException {
+        long until = System.currentTimeMillis() + mostMillis;
+        while (count(kind) < wanted) {
+            long left = until - System.currentTimeMillis();
+            if (left <= 0) {
+                return false;
+            }
+            wait(left);
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/src/main/java/cypressvalve/soak/GatewayProcess.java
@@ -0,0 +1,97 @@
+package cypressvalve.soak;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** A real gateway process ({@code serve}) of this build, with its log and the signals that the platform sends it. */
+public final class GatewayProcess implements AutoCloseable {
+    private static final Pattern LISTENS = Pattern.compile("listens on /?([0-9.]+):([0-9]+)");
+    private static final long START_SECONDS = 30;
+    private static final String HEAP = "-Xmx96m";
+
+    private final String name;
+    private final EventRecord record;
+    private final Process process;
+    private final List<String> log = new CopyOnWriteArrayList<>();
+    private final CountDownLatch listening = new CountDownLatch(1);
+    private volatile InetSocketAddress address;
+
+    /** Starts it; returns at once. */
+    public GatewayProcess(String name, Path config, EventRecord record) throws IOException {
+        this.name = name;
+        this.record = record;
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), HEAP,
+            "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Djava.net.preferIPv4Stack=true", "-Dcypressvalve.events=true",
+            "-cp", System.getProperty("java.class.path"), "cypressvalve.Main", "serve").redirectErrorStream(true);
+        builder.environment().put("NODE_CONFIG", config.toString());
+        process = builder.start();
+        Thread reader = new Thread(this::readLog, "log of " + name);
+        reader.setDaemon(true);
+        reader.start();
+        process.onExit().thenAccept(p -> record.add(Event.Kind.PROCESS_ENDED, name, "", String.valueOf(p.exitValue())));
+    }
+
+    private void readLog() {
+        try (BufferedReader in = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8))) {
+            for (String line = in.readLine(); line != null; line = in.readLine()) {
+                log.add(line);
+                Matcher matcher = LISTENS.matcher(line);
+                if (matcher.find()) {
+                    address = new InetSocketAddress(matcher.group(1), Integer.parseInt(matcher.group(2)));
+                    listening.countDown();
+                }
+            }
+        } catch (IOException e) {
+            log.add("the log broke off: " + e);
+        }
+    }
+
+    /** Waits until it listens; where it does not in time, throws with its log. */
+    public InetSocketAddress address() throws InterruptedException {
+        if (!listening.await(START_SECONDS, TimeUnit.SECONDS)) {
+            throw new IllegalStateException("the gateway does not listen: " + log);
+        }
+        return address;
+    }
+
+    /** SIGTERM: the platform tells it to shut down. */
+    public void terminate() {
+        record.add(Event.Kind.SIGNAL, name, "", "TERM");
+        process.destroy();
+    }
+
+    /** SIGKILL. */
+    public void kill() {
+        record.add(Event.Kind.SIGNAL, name, "", "KILL");
+        process.destroyForcibly();
+    }
+
+    public boolean alive() {
+        return process.isAlive();
+    }
+
+    /** What it has logged so far. */
+    public List<String> log() {
+        return List.copyOf(log);
+    }
+
+    /** What it has logged of a request. */
+    public List<String> log(String request) {
+        return log.stream().filter(line -> line.contains(request)).toList();
+    }
+
+    @Override
+    public void close() throws InterruptedException {
+        process.destroyForcibly().waitFor();
+    }
+}
--- /dev/null
+++ b/src/main/java/cypressvalve/soak/RecordChecker.java
@@ -0,0 +1,120 @@
+package cypressvalve.soak;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+
+/**
+ * Judges a trial from its record alone, by the protocol's rules: one answer in time to every request that a gateway took,
+ * nothing served that no media host served, one attempt out at a time, and no attempt begun for a client that has gone.
+ * Pure: it reads no clock and knows nothing of the gateway's code.
+ */
+public final class RecordChecker {
+    /** A client that is gone may still be met by what was on its way. */
+    private static final long GONE_SLACK_MICROS = 100_000;
+    /** An answer this late earns nothing and breaks no rule. */
+    private static final long LATE_ANSWER_MICROS = 500_000;
+    private static final long MICROS_PER_MILLI = 1_000;
+
+    /** Which rule a violation breaks. */
+    public enum Rule { LOST, DUPLICATE, FORWARDED_AFTER_END }
+
+    /** One broken rule: the request, and its story as the record has it. */
+    public record Violation(Rule rule, String request, String what, List<Event> story) {
+        @Override
+        public String toString() {
+            return rule + " " + request + ": " + what + "\n  " + story.stream().map(Event::toString)
+                .collect(Collectors.joining("\n  "));
+        }
+    }
+
+    private record Attempt(String host, long begun, long ended) { }
+
+    private final List<Violation> violations = new ArrayList<>();
+
+    private RecordChecker() {
+    }
+
+    /** All rules that the record breaks, by request. */
+    public static List<Violation> check(List<Event> events) {
+        RecordChecker checker = new RecordChecker();
+        Map<String, List<Event>> byRequest = new TreeMap<>();
+        events.stream().filter(e -> !e.request().isEmpty())
+            .forEach(e -> byRequest.computeIfAbsent(e.request(), request -> new ArrayList<>()).add(e));
+        long end = events.stream().mapToLong(Event::atMicros).max().orElse(0);
+        byRequest.forEach((request, story) -> {
+            checker.checkAnswers(request, story, end);
+            checker.checkAttempts(request, story);
+        });
+        return checker.violations;
+    }
+
+    private void add(Rule rule, String request, String what, List<Event> story) {
+        violations.add(new Violation(rule, request, what, story));
+    }
+
+    private void checkAnswers(String request, List<Event> story, long end) {
+        Event sent = first(story, Event.Kind.REQUEST_SENT);
+        if (sent == null) {
+            return;
+        }
+        List<Event> answers = story.stream().filter(e -> e.kind() == Event.Kind.ANSWER_SERVED
+            || e.kind() == Event.Kind.ANSWER_REFUSED).toList();
+        boolean cancelled = first(story, Event.Kind.REQUEST_CANCELLED) != null;
+        long due = sent.atMicros() + Long.parseLong(sent.detail()) * MICROS_PER_MILLI + LATE_ANSWER_MICROS;
+        if (answers.size() > 1) {
+            add(Rule.LOST, request, "answered " + answers.size() + " times", story);
+        } else if (answers.isEmpty() && !cancelled) {
+            add(Rule.LOST, request, end < due ? "no answer when the trial ended" : "no answer", story);
+        } else if (!answers.isEmpty() && answers.get(0).atMicros() > due) {
+            add(Rule.LOST, request, "answered after its time", story);
+        }
+        boolean served = answers.stream().anyMatch(e -> e.kind() == Event.Kind.ANSWER_SERVED);
+        if (served && first(story, Event.Kind.ATTEMPT_SERVED) == null) {
+            add(Rule.LOST, request, "served what no media host made", story);
+        }
+    }
+
+    private void checkAttempts(String request, List<Event> story) {
+        List<Attempt> attempts = attempts(story);
+        for (int i = 1; i < attempts.size(); i++) {
+            Attempt before = attempts.get(i - 1);
+            Attempt next = attempts.get(i);
+            if (next.begun() < before.ended()) {
+                add(Rule.DUPLICATE, request, "attempt at " + next.host() + " began " + (before.ended() - next.begun())
+                    + " us before that at " + before.host() + " ended", story);
+            }
+        }
+        long over = story.stream().filter(e -> Set.of(Event.Kind.ANSWER_SERVED, Event.Kind.ANSWER_REFUSED,
+            Event.Kind.REQUEST_CANCELLED).contains(e.kind())).mapToLong(Event::atMicros).min().orElse(Long.MAX_VALUE);
+        attempts.stream().filter(a -> over != Long.MAX_VALUE && a.begun() > over + GONE_SLACK_MICROS).findFirst()
+            .ifPresent(a -> add(Rule.FORWARDED_AFTER_END, request, "sent to " + a.host() + " " + (a.begun() - over)
+                + " us after its end", story));
+    }
+
+    /** The attempts in order of their begin; one without an end lasts for ever. */
+    private static List<Attempt> attempts(List<Event> story) {
+        Map<String, Long> open = new LinkedHashMap<>();
+        List<Attempt> attempts = new ArrayList<>();
+        for (Event e : story) {
+            if (e.kind() == Event.Kind.ATTEMPT_BEGUN) {
+                open.put(e.party(), e.atMicros());
+            } else if (e.kind() == Event.Kind.ATTEMPT_ENDED && open.containsKey(e.party())) {
+                attempts.add(new Attempt(e.party(), open.remove(e.party()), e.atMicros()));
+            }
+        }
+        new HashMap<>(open).forEach((host, begun) -> attempts.add(new Attempt(host, begun, Long.MAX_VALUE)));
+        attempts.sort(Comparator.comparingLong(Attempt::begun));
+        return attempts;
+    }
+
+    private static Event first(List<Event> story, Event.Kind kind) {
+        return story.stream().filter(e -> e.kind() == kind).findFirst().orElse(null);
+    }
+}
--- a/src/test/java/cypressvalve/host/rtsp/RtspHostClientTest.java
+++ b/src/test/java/cypressvalve/host/rtsp/RtspHostClientTest.java
@@ -61,7 +61,7 @@
             public void lost(long id) {
                 told.add("lost " + id);
             }
-        });
+        }, new cypressvalve.diagnostics.EventLog(64));
 
     RtspHostClientTest() throws IOException { }
 
--- /dev/null
+++ b/src/test/java/cypressvalve/soak/GatewayTrial.java
@@ -0,0 +1,67 @@
+package cypressvalve.soak;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A real gateway process between emulated clients, media hosts and a coordinator, judged from the record. */
+abstract class GatewayTrial {
+    static final long MOST_MILLIS = 15_000;
+    final EventRecord record = new EventRecord();
+    final List<MediaHostEmulator> hosts = new ArrayList<>();
+    private final List<AutoCloseable> opened = new ArrayList<>();
+    GatewayProcess gateway;
+    private long ids = 0x1000;
+    @TempDir
+    Path dir;
+
+    /** Starts a gateway with so many media hosts; it listens on return. */
+    void start(int hostCount, long aimMillis, long deadlineMillis) throws Exception {
+        CoordinatorEmulator coordinator = opened(new CoordinatorEmulator());
+        for (int i = 0; i < hostCount; i++) {
+            hosts.add(opened(new MediaHostEmulator("host-" + i, record)));
+        }
+        gateway = opened(new GatewayProcess("gateway", TrialConfig.write(dir.resolve("config.json"), coordinator, hosts,
+            aimMillis, deadlineMillis), record));
+        gateway.address();
+    }
+
+    private <T extends AutoCloseable> T opened(T resource) {
+        opened.add(resource);
+        return resource;
+    }
+
+    ClientEmulator client(String name) throws IOException, InterruptedException {
+        return opened(new ClientEmulator(name, gateway.address(), record));
+    }
+
+    /** A set-up that any of the hosts may take. */
+    ClientEmulator.SetUp request(int patienceMillis) {
+        return new ClientEmulator.SetUp(++ids, "a", "t", "abcdef", patienceMillis, hosts.size());
+    }
+
+    long answers() {
+        return record.count(Event.Kind.ANSWER_SERVED) + record.count(Event.Kind.ANSWER_REFUSED);
+    }
+
+    /** Fails with the story of each request for which a rule was broken, the gateway's log included. */
+    void assertRulesKept() {
+        StringBuilder stories = new StringBuilder();
+        for (RecordChecker.Violation violation : RecordChecker.check(record.events())) {
+            stories.append(violation).append("\n  ").append(String.join("\n  ", gateway.log(violation.request()))).append('\n');
+        }
+        assertEquals("", stories.toString());
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        for (int i = opened.size() - 1; i >= 0; i--) {
+            opened.get(i).close();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/cypressvalve/soak/RecordCheckerTest.java
@@ -0,0 +1,66 @@
+package cypressvalve.soak;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Doctored records: for each rule one that breaks it by a little and one that keeps it by a little. */
+class RecordCheckerTest {
+    private static Event event(long at, Event.Kind kind, String party, String detail) {
+        return new Event(at, kind, party, "aa", detail);
+    }
+
+    private static List<RecordChecker.Rule> broken(Event... events) {
+        return RecordChecker.check(List.of(events)).stream().map(RecordChecker.Violation::rule).toList();
+    }
+
+    private static List<RecordChecker.Rule> brokenByAnswerAt(long micros) {
+        return broken(event(0, Event.Kind.REQUEST_SENT, "c", "100"), event(micros, Event.Kind.ANSWER_REFUSED, "c", "34"));
+    }
+
+    private static List<RecordChecker.Rule> brokenByNextAttemptAt(long micros) {
+        return broken(event(0, Event.Kind.ATTEMPT_BEGUN, "a", ""), event(50, Event.Kind.ATTEMPT_ENDED, "a", "cancelled"),
+            event(micros, Event.Kind.ATTEMPT_BEGUN, "b", ""), event(90, Event.Kind.ATTEMPT_ENDED, "b", "cancelled"));
+    }
+
+    private static List<RecordChecker.Rule> brokenByAttemptAfterCancel(long micros) {
+        return broken(event(0, Event.Kind.REQUEST_SENT, "c", "100"), event(10, Event.Kind.REQUEST_CANCELLED, "c", ""),
+            event(10 + micros, Event.Kind.ATTEMPT_BEGUN, "a", ""));
+    }
+
+    @Test
+    void anAnswerAfterItsTimeIsLost() {
+        assertEquals(List.of(), brokenByAnswerAt(600_000));
+        assertEquals(List.of(RecordChecker.Rule.LOST), brokenByAnswerAt(600_001));
+    }
+
+    @Test
+    void noAnswerAndTwoAnswersAreLost() {
+        assertEquals(List.of(RecordChecker.Rule.LOST), broken(event(0, Event.Kind.REQUEST_SENT, "c", "100")));
+        assertEquals(List.of(RecordChecker.Rule.LOST), broken(event(0, Event.Kind.REQUEST_SENT, "c", "100"),
+            event(1, Event.Kind.ANSWER_REFUSED, "c", "34"), event(2, Event.Kind.ANSWER_REFUSED, "c", "34")));
+        assertEquals(List.of(), broken(event(0, Event.Kind.REQUEST_SENT, "c", "100"),
+            event(1, Event.Kind.REQUEST_CANCELLED, "c", "")));
+    }
+
+    @Test
+    void servedWhatNoHostMadeIsLost() {
+        assertEquals(List.of(RecordChecker.Rule.LOST), broken(event(0, Event.Kind.REQUEST_SENT, "c", "100"),
+            event(1, Event.Kind.ANSWER_SERVED, "c", "v=0")));
+        assertEquals(List.of(), broken(event(0, Event.Kind.REQUEST_SENT, "c", "100"),
+            event(1, Event.Kind.ATTEMPT_SERVED, "a", ""), event(2, Event.Kind.ANSWER_SERVED, "c", "v=0")));
+    }
+
+    @Test
+    void twoAttemptsOutAtOnceAreDuplicate() {
+        assertEquals(List.of(), brokenByNextAttemptAt(50));
+        assertEquals(List.of(RecordChecker.Rule.DUPLICATE), brokenByNextAttemptAt(49));
+    }
+
+    @Test
+    void anAttemptForAClientThatIsGoneIsForwardedAfterItsEnd() {
+        assertEquals(List.of(), brokenByAttemptAfterCancel(100_000));
+        assertEquals(List.of(RecordChecker.Rule.FORWARDED_AFTER_END), brokenByAttemptAfterCancel(100_001));
+    }
+}
