Test: the word to end is taken before the gateway is tested

Cause: drain() hands a task to the loop, and a loop that wakes reads the sockets that are ready before it runs tasks, so the test's bytes could be read first. The test now waits until the loop has run what was handed to it; what it asserts is unchanged.

--- a/src/test/java/cypressvalve/run/PlatformEndsTest.java
+++ b/src/test/java/cypressvalve/run/PlatformEndsTest.java
@@ -58,6 +58,13 @@
         socket.close();
     }
 
+    /** Returns once the loop has run what was handed to it before: sockets that are ready may be read first. */
+    private void awaitTasksOfTheLoop() throws InterruptedException {
+        CountDownLatch ran = new CountDownLatch(1);
+        node.onLoop(ran::countDown);
+        ran.await();
+    }
+
     private CountDownLatch heldUp() throws InterruptedException {
         CountDownLatch stands = new CountDownLatch(1);
         CountDownLatch goOn = new CountDownLatch(1);
@@ -221,6 +228,7 @@
             CountDownLatch done = new CountDownLatch(1);
             node.drain(done::countDown);
             node.drain(done::countDown);
+            awaitTasksOfTheLoop();
             test.getOutputStream().write(message(52, 7));
             assertEquals("53 7 0", heard(test));
             viewer.getOutputStream().write(setUp(8, "a", HOME));
