An attempt counts as over once its host can have read the cancel, not once that is written

Cause: RtspHostClient reported a timed-out, withdrawn or broken attempt as soon as it had written TEARDOWN (or closed the connection), and Control's next attempt left in the same turn on another connection. Whatever held the cancel up by more than the set-up (Nagle's algorithm behind an unacknowledged message, a host or machine that reads late) made them overlap. Class: an effect elsewhere is taken as done when the message that causes it is sent.

Evidence: in the users' records further set-ups left 9, 21 and 42 ms after the end before where they did not overlap, the delayed acknowledgement's 40 ms; where they did, all cancels of one turn were read late together.

Now: connections that we open have TCP_NODELAY; a cancelled attempt's result is reported when the host ends it or acknowledges, else 150 ms later, over the longest overlap seen. Attempts have explicit states. Related path: a refusal on the line of a cancelled, unanswered attempt of the same request may be that one's; it no longer proves that the next never ran.

--- a/src/main/java/cypressvalve/fleet/stream/StreamFollower.java
+++ b/src/main/java/cypressvalve/fleet/stream/StreamFollower.java
@@ -15,7 +15,6 @@
 import java.util.random.RandomGenerator;
 import org.xnio.IoFuture;
 import org.xnio.IoUtils;
-import org.xnio.OptionMap;
 import org.xnio.StreamConnection;
 import org.xnio.XnioIoThread;
 
@@ -210,7 +209,7 @@
         private boolean over;
 
         private Stream() {
-            connecting = thread.openStreamConnection(address, this::opened, OptionMap.EMPTY);
+            connecting = thread.openStreamConnection(address, this::opened, Duplex.CONNECT_OPTIONS);
             connecting.addNotifier((future, nothing) -> {
                 if (future.getStatus() == IoFuture.Status.FAILED) {
                     thread.execute(this::broken);
--- a/src/main/java/cypressvalve/host/HostClient.java
+++ b/src/main/java/cypressvalve/host/HostClient.java
@@ -18,7 +18,8 @@
         }
 
         /**
-         * It does not play. NOT_SENT and NO_CONNECTION are told only where no byte of it can have left; a reset
+         * It does not play. Told once the host has ended it, or has been told to and had the time to read that: a
+         * further attempt may follow at once. NOT_SENT and NO_CONNECTION are told only where no byte of it can have left; a reset
          * or a time-out after that is no proof.
          */
         void cameBack(Verdict verdict, LoadReport report);
@@ -56,7 +57,7 @@
 
     /** Out on its way; can be taken back. */
     interface Call {
-        /** Stops waiting and tells the host; the result is then WITHDRAWN, or NOT_SENT where nothing had left. */
+        /** Stops waiting and tells the host; the result is WITHDRAWN as soon as the host can have read that, or NOT_SENT where nothing had left. */
         void withdraw();
     }
 
--- a/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
+++ b/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
@@ -24,7 +24,6 @@
 import java.util.function.Consumer;
 import org.xnio.IoFuture;
 import org.xnio.IoUtils;
-import org.xnio.OptionMap;
 import org.xnio.StreamConnection;
 import org.xnio.XnioIoThread;
 
@@ -55,6 +54,11 @@
      * its address: a line opened between its death and the list's word of it may have reached another.
      */
     private static final long LAST_WORDS = 1_500_000_000L;
+    /**
+     * How long a host has to read that an attempt was cancelled, where it does not acknowledge that: its result is not
+     * reported before, as a further attempt elsewhere might overtake the cancel on its way.
+     */
+    private static final long CANCEL_READ_WITHIN = 150_000_000L;
     /** A line closed for want of room, where something plays, is opened again after this: ends must be heard in time. */
     private static final long AGAIN = 3_000_000_000L;
 
@@ -253,6 +257,18 @@
 
     private record Said(Word word, long at) { }
 
+    /** Where a set-up attempt stands; it only moves downwards. */
+    private enum AttemptState {
+        /** No byte of it has left. */
+        WAITING,
+        /** Written to a connection; the host may run it. */
+        SENT,
+        /** Cancelled, or its connection has ended: the host may not have read that yet. */
+        CANCELLED,
+        /** Its result was reported. */
+        DONE
+    }
+
     /** A set-up on its way. */
     private final class Try {
         private final SetUpOrder order;
@@ -262,7 +278,9 @@
         private Timer timer;
         /** As written; null before. */
         private byte[] sent;
-        private boolean done;
+        private AttemptState state = AttemptState.WAITING;
+        /** What is reported of it once it is known to be over; null unless it was cancelled. */
+        private Verdict cancelVerdict;
 
         private Try(SetUpOrder order, SetUpResult result) {
             this.order = order;
@@ -276,18 +294,28 @@
                 "X-Quality: " + order.rung());
         }
 
-        private boolean finish(Verdict verdict) {
-            if (done) {
-                return false;
-            }
-            done = true;
+        private boolean open() {
+            return state == AttemptState.WAITING || state == AttemptState.SENT;
+        }
+
+        private void sent(byte[] message) {
+            sent = message;
+            state = AttemptState.SENT;
+        }
+
+        private void finish(Verdict verdict) {
+            state = AttemptState.DONE;
+            timer.cancel();
+            leave();
             events.record(EventKind.ATTEMPT_ENDED, order.playback(), line == null ? EventLog.NONE : line.number,
                 line == null ? EventLog.NONE : line.pool.address.id(), verdict);
-            timer.cancel();
+        }
+
+        private void leave() {
             if (line != null) {
                 line.tries.remove(order.playback(), this);
+                line.cancelled.remove(order.playback(), this);
             }
-            return true;
         }
 
         /** Takes back what waits in the line's queue, else tells the host; whether any of it can have left. */
@@ -301,9 +329,14 @@
 
         /** Guards against a set-up that leaves after its playback's answer, as its connection comes up just then. */
         private void withdraw() {
-            if (finish(Verdict.WITHDRAWN)) {
-                Verdict verdict = stop() ? Verdict.WITHDRAWN : Verdict.NOT_SENT;
-                thread.execute(() -> result.cameBack(verdict, LoadReport.NONE));
+            if (!open()) {
+                return;
+            }
+            if (stop()) {
+                cancelled(Verdict.WITHDRAWN);
+            } else {
+                finish(Verdict.NOT_SENT);
+                thread.execute(() -> result.cameBack(Verdict.NOT_SENT, LoadReport.NONE));
             }
         }
 
@@ -312,22 +345,60 @@
             if (line != null && line.up) {
                 line.duplex.readNow();
             }
-            givenUp(sent != null ? Verdict.TIMEOUT : Verdict.NO_CONNECTION);
+            if (!open()) {
+                return;
+            }
+            if (sent == null) {
+                cameBack(Verdict.NO_CONNECTION, LoadReport.NONE);
+            } else if (stop()) {
+                // A line on which the host said nothing since is of no use.
+                line.retired |= line.heardAt < until - order.maxWait();
+                cancelled(Verdict.TIMEOUT);
+            } else {
+                cameBack(Verdict.NOT_SENT, LoadReport.NONE);
+            }
         }
 
-        /** The host is told before anything else can be sent; a line on which it said nothing since is of no use. */
-        private void givenUp(Verdict verdict) {
-            if (finish(verdict)) {
-                boolean left = stop();
-                if (left && line.heardAt < until - order.maxWait()) {
-                    line.retired = true;
-                }
-                result.cameBack(sent != null && !left ? Verdict.NOT_SENT : verdict, LoadReport.NONE);
+        /** The line has ended under it. */
+        private void broken(Verdict verdict) {
+            if (!open()) {
+                return;
+            }
+            if (sent == null) {
+                cameBack(verdict, LoadReport.NONE);
+            } else if (line.duplex.takeBack(sent)) {
+                cameBack(Verdict.NOT_SENT, LoadReport.NONE);
+            } else {
+                cancelled(verdict);
+            }
+        }
+
+        /** A refusal came that may not be its own. */
+        private void unproven() {
+            stop();
+            cancelled(Verdict.ERROR);
+        }
+
+        /** The result is reported once the host has acknowledged the cancel, or has had the time to read it. */
+        private void cancelled(Verdict verdict) {
+            state = AttemptState.CANCELLED;
+            timer.cancel();
+            leave();
+            line.cancelled.put(order.playback(), this);
+            timer = after(CANCEL_READ_WITHIN, () -> cameBack(verdict, LoadReport.NONE));
+            cancelVerdict = verdict;
+        }
+
+        /** The host has ended it, so the cancel is no longer awaited. */
+        private void cancelRead() {
+            if (state == AttemptState.CANCELLED) {
+                cameBack(cancelVerdict, LoadReport.NONE);
             }
         }
 
         private void cameBack(Verdict verdict, LoadReport report) {
-            if (finish(verdict)) {
+            if (state != AttemptState.DONE) {
+                finish(verdict);
                 result.cameBack(verdict, report);
             }
         }
@@ -497,6 +568,8 @@
         private final long number = ++begun;
         private final Map<String, Try> tries = new LinkedHashMap<>();
         private final Map<String, Test> tests = new LinkedHashMap<>();
+        /** Set-ups that were cancelled here, or with this line, and that the host may still hold. */
+        private final Map<String, Try> cancelled = new HashMap<>();
         /** Set-ups given up on this line, and when: an answer may still come. */
         private final Map<String, Long> gaveUp = new HashMap<>();
         /** Set-ups that were answered here, but not to play, and when: the answer may come again. */
@@ -521,7 +594,8 @@
             held++;
             note(EventKind.HOST_CONNECTING, null);
             connecting = thread.openStreamConnection(
-                new InetSocketAddress(pool.address.host(), pool.address.port()), this::opened, OptionMap.EMPTY);
+                new InetSocketAddress(pool.address.host(), pool.address.port()), this::opened,
+                Duplex.CONNECT_OPTIONS);
             timer = after(limits.connectTimeout(), this::unreached);
             connecting.addNotifier((future, nothing) -> {
                 if (future.getStatus() == IoFuture.Status.FAILED) {
@@ -588,7 +662,7 @@
         }
 
         private void send(Try t) {
-            t.sent = t.message();
+            t.sent(t.message());
             write(t.sent);
             events.record(EventKind.ATTEMPT_SENT, t.order.playback(), number, pool.address.id(),
                 duplex.flushed() ? null : "queued");
@@ -671,8 +745,7 @@
 
         /** All that is open on the line ends so; what was sent may have run. */
         private void ended(Verdict verdict) {
-            List.copyOf(tries.values()).forEach(t -> t.cameBack(t.sent != null && duplex.takeBack(t.sent) ? Verdict.NOT_SENT
-                : verdict, LoadReport.NONE));
+            List.copyOf(tries.values()).forEach(t -> t.broken(verdict));
             List.copyOf(tests.values()).forEach(t -> t.done(verdict, LoadReport.NONE));
         }
 
@@ -730,6 +803,9 @@
             LoadReport report = Occupancy.read(message.field("x-occupancy"));
             Test test = tests.get(message.session());
             Try t = tries.get(message.session());
+            if (message.sequence() == TEARDOWN || message.sequence() == SET_UP && message.status() != 200) {
+                cancelRead(message.session());
+            }
             if (message.sequence() == OPTIONS) {
                 if (test != null) {
                     test.done(message.status() == 200 ? Verdict.OK : Verdict.ERROR, report);
@@ -742,12 +818,15 @@
                 said.removeIf(w -> w.word.session.equals(message.session()));
             } else if (message.sequence() == SET_UP && message.status() == 200) {
                 checkWhole(t.order.description(), message.body());
-                if (t.finish(Verdict.OK)) {
-                    gaveUp.remove(message.session()); // A second copy must not end what plays.
-                    t.result.started(report, message.body());
-                }
+                t.finish(Verdict.OK);
+                gaveUp.remove(message.session()); // A second copy must not end what plays.
+                t.result.started(report, message.body());
             } else if (message.sequence() == SET_UP) {
                 refused.put(message.session(), heardAt);
+                if (gaveUp.containsKey(message.session())) {
+                    t.unproven(); // It may be the late answer to the attempt before, which proves nothing of this one.
+                    return;
+                }
                 t.cameBack(switch (message.status()) {
                     case 453 -> Verdict.FULL;
                     case 454 -> Verdict.NOT_SENT;
@@ -757,11 +836,19 @@
             }
         }
 
+        private void cancelRead(String session) {
+            Try attempt = cancelled.get(session);
+            if (attempt != null) {
+                attempt.cancelRead();
+            }
+        }
+
         private void told(Rtsp message) {
             long host = pool.address.id();
             switch (message.method()) {
                 case "TEARDOWN" -> {
                     write(Rtsp.response(200, "OK", Math.max(0, message.sequence()), message.session()));
+                    cancelRead(message.session());
                     Try t = tries.get(message.session());
                     Verdict verdict = switch (message.cause()) {
                         case USUAL -> Verdict.OK;
--- a/src/main/java/cypressvalve/net/Duplex.java
+++ b/src/main/java/cypressvalve/net/Duplex.java
@@ -4,6 +4,8 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
 import org.xnio.StreamConnection;
 import org.xnio.channels.StreamSourceChannel;
 import org.xnio.conduits.ConduitStreamSinkChannel;
@@ -23,6 +25,8 @@
         void closed();
     }
 
+    /** For connections that we open: a message leaves at once, not behind the acknowledgement of the one before. */
+    public static final OptionMap CONNECT_OPTIONS = OptionMap.create(Options.TCP_NODELAY, true);
     /** Reads in one turn: a peer that sends at full speed lets the others have their turn. */
     private static final int READS = 4;
 
--- a/src/test/java/cypressvalve/host/rtsp/RtspHostClientTest.java
+++ b/src/test/java/cypressvalve/host/rtsp/RtspHostClientTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import cypressvalve.diagnostics.EventLog;
 import cypressvalve.host.HostAddress;
 import cypressvalve.host.HostClient;
 import cypressvalve.host.HostLimits;
@@ -61,7 +62,7 @@
             public void lost(long id) {
                 told.add("lost " + id);
             }
-        }, new cypressvalve.diagnostics.EventLog(64));
+        }, new EventLog(64));
 
     RtspHostClientTest() throws IOException { }
 
@@ -245,6 +246,40 @@
         }
     }
 
+    @Test
+    void aCancelledAttemptIsNotReportedOverBeforeItsHostHadTheTimeToReadThat() throws Exception {
+        HostClient.Call[] call = new HostClient.Call[1];
+        long[] cancelledAt = new long[1];
+        onLoop(() -> call[0] = setUp("00000000000000aa"));
+        try (Socket line = server.accept()) {
+            message(reader(line));
+            onLoop(() -> {
+                cancelledAt[0] = System.nanoTime();
+                call[0].withdraw();
+            });
+            assertEquals("back 00000000000000aa WITHDRAWN", told.take());
+            assertTrue(System.nanoTime() - cancelledAt[0] >= 150_000_000L, "it was reported over at once");
+        }
+    }
+
+    @Test
+    void aRefusalThatMayAnswerTheCancelledAttemptBeforeProvesNothingOfThisOne() throws Exception {
+        HostClient.Call[] call = new HostClient.Call[1];
+        onLoop(() -> call[0] = setUp("00000000000000aa"));
+        try (Socket line = server.accept()) {
+            BufferedReader in = reader(line);
+            message(in);
+            onLoop(() -> call[0].withdraw());
+            assertTrue(message(in).startsWith("TEARDOWN"));
+            assertEquals("back 00000000000000aa WITHDRAWN", told.take());
+            onLoop(() -> setUp("00000000000000aa"));
+            assertTrue(message(in).startsWith("SETUP"));
+            say(line, "RTSP/1.0 453 Full\r\nCSeq: 1\r\nSession: 00000000000000aa", "");
+            assertTrue(message(in).startsWith("TEARDOWN"), "it may run, so it is cancelled");
+            assertEquals("back 00000000000000aa ERROR", told.take());
+        }
+    }
+
     /** A second copy of the first answer, some milliseconds late, would pass for the second's. */
     @Test
     void aTryAfterAnAnsweredOneTakesAnotherLine() throws Exception {
