A connection that stops within a message is not closed over an open request, nor mid-message

Cause: SignalFront.unheard counted a begun message from the last whole one before it, so the first piece of a request after 1.5 s of quiet closed its connection at the next look (each 250 ms), and it closed connections on which other requests still waited for their answer; their attempts were cancelled and they got none. Class: a time-out counted from the wrong instant, and an end that forgets what is owed.

Found while checking paths that lose answers: users send messages in pieces and have slow writers. Now a begun message counts from its own first byte (2.5 s, so that half a request is still closed within 3 s of connecting), and nothing is closed for it while a request is open there.

Both tests failed before: the second piece met a closed connection; the open request read EOF for its answer. The scene's aim is 2.8 s now, as a request has to be open for longer than the old 1.5 s; the other tests' patience of 0.9 s binds first.

--- a/src/main/java/cypressvalve/front/signal/SignalFront.java
+++ b/src/main/java/cypressvalve/front/signal/SignalFront.java
@@ -32,6 +32,8 @@
     private static final long SECOND = 1_000_000_000L;
     /** A peer that has said nothing whole, or nothing that a viewer says, is closed after this; it is owed that in 3 s. */
     private static final long UNHEARD = 3 * SECOND / 2;
+    /** A message that is not whole so long after its first byte has a sender that will not complete it. */
+    private static final long PARTIAL = 5 * SECOND / 2;
     /** A connection with no session is closed after this: viewers themselves close theirs after 4 s. */
     private static final long IDLE = 6 * SECOND;
     /** An end that could not be told is kept so long: its viewer is owed it for 8 s. */
@@ -266,7 +268,8 @@
         /** Answered here, and playing. */
         private final Set<Waiting> standing = new HashSet<>();
         private final long since = core.clock().now();
-        private long lastWhole = since;
+        /** When the first byte of the message came that is not whole yet. */
+        private long partialSince = since;
         private long usedAt = since;
         /** A whole message came. */
         private boolean heard;
@@ -290,11 +293,15 @@
             return open.isEmpty() && standing.isEmpty();
         }
 
-        /** It has said nothing, no end of a message, or nothing new for too long. */
+        /** It has said nothing, no end of a message, or nothing new for too long; nothing waits for its answer on it. */
         private boolean unheard(long now) {
-            boolean silent = !good && now - since > UNHEARD;
-            boolean half = reader.within() && now - lastWhole > UNHEARD && now - since > UNHEARD;
-            return silent && open.isEmpty() || half || idle() && now - usedAt > IDLE;
+            if (!open.isEmpty()) {
+                return false;
+            }
+            if (reader.within()) {
+                return now - (good ? partialSince : since) > PARTIAL;
+            }
+            return !good && now - since > UNHEARD || idle() && now - usedAt > IDLE;
         }
 
         /** Whether that holds after what has come by now is read: on a late loop a set-up may wait unread for long. */
@@ -339,13 +346,18 @@
         @Override
         public void bytes(ByteBuffer data) {
             try {
+                boolean begun = reader.within();
                 Signal signal = reader.next(data);
                 while (signal != null && duplex.isOpen()) {
                     heard = true;
-                    lastWhole = usedAt = core.clock().now();
+                    begun = false;
+                    usedAt = core.clock().now();
                     take(signal);
                     signal = reader.next(data);
                 }
+                if (!begun && reader.within()) {
+                    partialSince = core.clock().now();
+                }
             } catch (Signal.Unreadable e) {
                 note(EventKind.CLIENT_CLOSED, e.getMessage());
                 gone(false);
--- a/src/test/java/cypressvalve/run/NodeScene.java
+++ b/src/test/java/cypressvalve/run/NodeScene.java
@@ -40,7 +40,7 @@
     PlatformSettings settings(ServerSocket told) throws IOException {
         String text = Files.readString(Path.of("deploy/archive.json")).replace("127.0.0.1:1\"", "127.0.0.1:" + told.getLocalPort()
             + "\"").replaceAll("\"hostPort\": \"127.0.0.1:2\"", "\"hostPort\": \"127.0.0.1:" + host.getLocalPort() + "\"")
-            .replaceAll("\"coldNs\": [0-9]+", "\"coldNs\": 0");
+            .replaceAll("\"aimNs\": [0-9]+", "\"aimNs\": 2800000000").replaceAll("\"coldNs\": [0-9]+", "\"coldNs\": 0");
         return PlatformSettings.read(Files.writeString(dir.resolve("config.json"), text), null);
     }
 
@@ -89,7 +89,16 @@
     }
 
     static byte[] setUp(long id, String plan, String figures) {
-        return message(1, id, "129", plan, "132", "900", "135", "t", "141", "abc", "159", "9000", "144", figures, "174",
+        return setUp(id, plan, figures, 900);
+    }
+
+    /** A set-up whose viewer waits so many milliseconds. */
+    static byte[] setUpWithin(int patience, long id) {
+        return setUp(id, "a", "home:0;copies:1;top:2", patience);
+    }
+
+    private static byte[] setUp(long id, String plan, String figures, int patience) {
+        return message(1, id, "129", plan, "132", String.valueOf(patience), "135", "t", "141", "abc", "159", "9000", "144", figures, "174",
             "v=" + id);
     }
 
--- a/src/test/java/cypressvalve/run/PlatformEndsTest.java
+++ b/src/test/java/cypressvalve/run/PlatformEndsTest.java
@@ -274,6 +274,47 @@
         }
     }
 
+    @Test
+    void aRequestInPiecesAfterAQuietTimeIsNotCutOff() throws Exception {
+        try (Socket viewer = viewer()) {
+            settled(viewer);
+            byte[] whole = setUp(8, "a", HOME);
+            viewer.getOutputStream().write(whole, 0, 5);
+            answersOnOtherConnectionsFor(2_000);
+            viewer.getOutputStream().write(whole, 5, whole.length - 5);
+            served("0000000000000008");
+            assertEquals("9 8 host's", heard(viewer));
+        }
+    }
+
+    @Test
+    void anOpenRequestIsAnsweredThoughItsConnectionStopsWithinAMessage() throws Exception {
+        try (Socket viewer = viewer()) {
+            viewer.getOutputStream().write(setUpWithin(2_900, 8));
+            viewer.getOutputStream().write(setUp(9, "a", HOME), 0, 5);
+            Socket line = host.accept();
+            BufferedReader in = reader(line);
+            while (!asked(line, in).startsWith("SETUP")) {
+                continue;
+            }
+            answersOnOtherConnectionsFor(2_000);
+            say(line, "RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: 0000000000000008", "host's");
+            assertEquals("9 8 host's", heard(viewer));
+            assertEquals(-1, viewer.getInputStream().read(), "then it is closed");
+        }
+    }
+
+    /** Time in which the gateway looks after its connections several times, told by its answers to tests. */
+    private void answersOnOtherConnectionsFor(long millis) throws Exception {
+        long until = System.nanoTime() + millis * 1_000_000;
+        try (Socket other = viewer()) {
+            while (System.nanoTime() < until) {
+                settled(other);
+                Thread.onSpinWait();
+            }
+        }
+    }
+
     /** What was told while a gateway started is known before it passes a test: nothing new goes to a host that drains. */
     @Test
     void aGatewayIsReadyOnceItsListIsCurrent() throws Exception {
