Shutdown follows from the clients' deadlines, and a gateway stays while clients may send

Cause: PlatformNode's times were fixed for deadlines of 3 s (answers by 3.4 s, end by 4 s), though the platform kills at the longest deadline plus 0.7 s: at 1 s requests of the last moments were open when it came. And the process ended 0.75 s after SIGTERM as soon as nothing was open for an instant, while clients went on sending on open connections until the kill. Class: a constant in place of a setting; an end that forgets that a peer may still send.

Now ShutdownSchedule, free of I/O, works out each phase from the classes' giveUpNs (3 s at most; 3 s where absent); a gateway ends early only once no client holds a connection, else 2 s after the earliest kill.

--- a/src/main/java/cypressvalve/config/PlatformSettings.java
+++ b/src/main/java/cypressvalve/config/PlatformSettings.java
@@ -20,11 +20,12 @@
  * @param shares each tenant's share, by its number in the settings
  * @param idle after which idle connections to media hosts close
  * @param connectTimeout after which a connection that is not established counts as none
+ * @param longestDeadline the longest that a client of any class waits for its answer
  * @param streams set-ups that one connection to a media host carries at once
  */
 public record PlatformSettings(String name, InetSocketAddress listen, long seed, int memoryMb, int sockets,
     InetSocketAddress coordinator, JsonNode known, Settings control, double[] shares, long idle, long connectTimeout,
-    int streams) {
+    long longestDeadline, int streams) {
     private static final ObjectMapper JSON = new ObjectMapper();
 
     /**
@@ -67,7 +68,15 @@
             Long.parseUnsignedLong(seed, 16), whole(file, all, "memory_mb"), whole(file, all, "sockets"),
             address(file, "coordinator", all.path("coordinator").asText("")), all.path("known"), control, shares,
             limits.path("connIdleNs").asLong(15_000_000_000L), limits.path("connectTimeoutNs").asLong(250_000_000L),
-            limits.path("streamsPerConn").asInt(1));
+            longestDeadline(settings.path("services")), limits.path("streamsPerConn").asInt(1));
+    }
+
+    private static long longestDeadline(JsonNode services) {
+        long longest = 0;
+        for (JsonNode service : services) {
+            longest = Math.max(longest, service.path("giveUpNs").asLong(Long.MAX_VALUE));
+        }
+        return longest;
     }
 
     private static int whole(Path file, JsonNode all, String key) {
--- a/src/main/java/cypressvalve/run/PlatformNode.java
+++ b/src/main/java/cypressvalve/run/PlatformNode.java
@@ -54,15 +54,6 @@
     private static final int MOST_SESSIONS = 10_000;
     /** A loop on a part of a core is stopped now and then for a few whole periods of its quota. */
     private static final long LATE = 400_000_000L;
-    /**
-     * After the word to end: as long as the platform may still send requests they are taken, then what is open gets its
-     * answer, then what plays plays on, as long as the platform lets it: the next start waits for its own time, and a cut
-     * costs viewers.
-     */
-    private static final long STILL_SENDS = 750_000_000L;
-    /** The platform kills 3.7 s after its word at the soonest where viewers wait longer: all have their answer by then. */
-    private static final long ANSWERED = 3_400_000_000L;
-    private static final long LONGEST = 4 * SECOND;
     /** What is left in write queues at the very end gets so long. */
     private static final long LAST_WORDS = 200_000_000L;
     /** Where no descriptor is left for a connection, the next is taken so much later: the listener would be told at once. */
@@ -84,6 +75,7 @@
     private final SignalFront front;
     private final StreamFollower follower;
     private final Consumer<String> log;
+    private final ShutdownSchedule shutdown;
     private final Counts counts = new Counts();
     private final EventLog events;
     private int sweeps;
@@ -104,6 +96,7 @@
         Consumer<Throwable> onFailure) {
         this.settings = settings;
         this.log = log;
+        shutdown = ShutdownSchedule.of(settings.longestDeadline());
         events = new EventLog(EVENTS_KEPT, LIVE_EVENTS ? log : null);
         try {
             worker = Xnio.getInstance().createWorker(OptionMap.builder().set(Options.WORKER_NAME, "gateway")
@@ -253,13 +246,13 @@
     private void drained(long begun, Runnable done) {
         thread.executeAfter(() -> {
             long since = core.clock().now() - begun;
-            if (since >= STILL_SENDS && core.healthy()) {
+            if (since >= shutdown.refusesAfter() && core.healthy()) {
                 events.record(EventKind.PROCESS, "new requests are refused from now on");
                 core.drain(() -> { });
-                core.answerBy(begun + ANSWERED);
+                core.answerBy(begun + shutdown.answersBy());
             }
             boolean busy = core.held(Session.State.OPENING) > 0 || core.held(Session.State.PLAYING) > 0 || !front.flushed();
-            if (since >= LONGEST || !busy && since >= STILL_SENDS) {
+            if (shutdown.mayEnd(since, busy, front.connections())) {
                 lastWords(done);
             } else {
                 drained(begun, done);
--- /dev/null
+++ b/src/main/java/cypressvalve/run/ShutdownSchedule.java
@@ -0,0 +1,41 @@
+package cypressvalve.run;
+
+/**
+ * What a gateway does when after SIGTERM, from the longest time that any of its clients waits for an answer. Free of I/O
+ * and of clocks; times are nanoseconds since the signal. The platform sends new connections and requests for a while,
+ * goes on with requests on open connections until it kills the process, and kills it no sooner than {@link #earliestKill}.
+ *
+ * @param refusesAfter requests that come later are refused at once
+ * @param answersBy by then every request that is open has its final answer
+ * @param earliestKill the soonest that the platform sends SIGKILL
+ * @param endsBy the process ends by then, whatever is open
+ */
+record ShutdownSchedule(long refusesAfter, long answersBy, long earliestKill, long endsBy) {
+    private static final long MILLI = 1_000_000L;
+    /** The platform counts longer deadlines as this. */
+    private static final long LONGEST_DEADLINE = 3_000 * MILLI;
+    private static final long KILL_AFTER_DEADLINE = 700 * MILLI;
+    /** New connections come for 0.4 s and requests on new ones for 0.2 s more; the rest is slack. */
+    private static final long STILL_SENDS = 750 * MILLI;
+    /** An answer needs so long before the kill to be read: a loop that stands still is late by as much. */
+    private static final long ANSWER_MARGIN = 300 * MILLI;
+    /** Where the kill does not come, clients that hold a connection may still send for so long. */
+    private static final long AFTER_KILL = 2_000 * MILLI;
+
+    /** @param longestDeadline the longest time that a client waits for its answer, in nanoseconds */
+    static ShutdownSchedule of(long longestDeadline) {
+        long kill = Math.min(longestDeadline, LONGEST_DEADLINE) + KILL_AFTER_DEADLINE;
+        return new ShutdownSchedule(Math.min(STILL_SENDS, kill - ANSWER_MARGIN), kill - ANSWER_MARGIN, kill, kill + AFTER_KILL);
+    }
+
+    /**
+     * Whether the process may end.
+     *
+     * @param since time since the signal
+     * @param busy requests are open, sessions play, or something waits to be written
+     * @param clients connections that clients hold: on each a request may be on its way
+     */
+    boolean mayEnd(long since, boolean busy, int clients) {
+        return since >= endsBy || since >= refusesAfter && !busy && clients == 0;
+    }
+}
