No attempt leaves before all that its client sent earlier was read

Operators saw requests forwarded after they had ended (rule lost). Cause: on a loop that is late, a media host's refusal or any other input of Control's may be read before the client's cancel that came long before it, as XNIO hands out ready connections in any order; RtspHostClient wrote the further attempt at once. First attempts were guarded in the client front alone. Class: a decision acted on before all that was known to the process was looked at.

Now an attempt is written with the loop's next turn, when every connection that was ready has been read, unless it was withdrawn by then; one place for first and further attempts, whatever led to them. An attempt whose connection ends before that provably never ran (NOT_SENT).

--- a/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
+++ b/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
@@ -365,7 +365,7 @@
                 return;
             }
             if (sent == null) {
-                cameBack(verdict, LoadReport.NONE);
+                cameBack(verdict == Verdict.BROKEN ? Verdict.NOT_SENT : verdict, LoadReport.NONE);
             } else if (line.duplex.takeBack(sent)) {
                 cameBack(Verdict.NOT_SENT, LoadReport.NONE);
             } else {
@@ -661,7 +661,19 @@
             }
         }
 
+        /**
+         * Sends it with the loop's next turn, if it was not withdrawn by then: what led to it may have been read before
+         * its client's cancel that came earlier, as connections are read in any order.
+         */
         private void send(Try t) {
+            thread.execute(() -> {
+                if (t.state == AttemptState.WAITING && !over && !closed) {
+                    sendNow(t);
+                }
+            });
+        }
+
+        private void sendNow(Try t) {
             t.sent(t.message());
             write(t.sent);
             events.record(EventKind.ATTEMPT_SENT, t.order.playback(), number, pool.address.id(),
--- a/src/main/java/cypressvalve/soak/GatewayProcess.java
+++ b/src/main/java/cypressvalve/soak/GatewayProcess.java
@@ -76,6 +76,26 @@
         process.destroyForcibly();
     }
 
+    /** Stands still (SIGSTOP) until {@link #resume}. */
+    public void suspend() throws IOException, InterruptedException {
+        signal("STOP");
+    }
+
+    /** Goes on after {@link #suspend} (SIGCONT). */
+    public void resume() throws IOException, InterruptedException {
+        signal("CONT");
+    }
+
+    /** Reads its configuration anew (SIGHUP). */
+    public void reload() throws IOException, InterruptedException {
+        signal("HUP");
+    }
+
+    private void signal(String signal) throws IOException, InterruptedException {
+        record.add(Event.Kind.SIGNAL, name, "", signal);
+        new ProcessBuilder("kill", "-" + signal, String.valueOf(process.pid())).start().waitFor();
+    }
+
     public boolean alive() {
         return process.isAlive();
     }
--- a/src/main/java/cypressvalve/soak/MediaHostEmulator.java
+++ b/src/main/java/cypressvalve/soak/MediaHostEmulator.java
@@ -9,7 +9,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.HashSet;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -26,6 +26,8 @@
     private final EventRecord record;
     private final ServerSocket listener;
     private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
+    /** Set-ups that were taken and not ended, with the connection that each came on. */
+    private final Map<String, Socket> open = new ConcurrentHashMap<>();
     private volatile boolean answersSetUps = true;
     private volatile long readDelayMillis;
 
@@ -75,15 +77,18 @@
     }
 
     private void serve(Socket connection) {
-        Set<String> open = new HashSet<>();
         try (connection) {
             connection.setTcpNoDelay(true);
             InputStream in = new BufferedInputStream(new LateInput(connection.getInputStream()));
             while (true) {
-                take(RtspMessage.read(in), connection, open);
+                take(RtspMessage.read(in), connection);
             }
         } catch (IOException | NumberFormatException e) {
-            open.forEach(request -> record.add(Event.Kind.ATTEMPT_ENDED, name, request, "connection ended"));
+            open.forEach((request, on) -> {
+                if (on == connection) {
+                    ended(request, "connection ended");
+                }
+            });
         } finally {
             connections.remove(connection);
         }
@@ -109,21 +114,17 @@
         }
     }
 
-    private void take(RtspMessage message, Socket connection, Set<String> open) throws IOException {
+    private void take(RtspMessage message, Socket connection) throws IOException {
         String session = message.session();
         switch (message.method()) {
-            case "SETUP" -> setUp(session, connection, open);
-            case "TEARDOWN" -> {
-                if (open.remove(session)) {
-                    record.add(Event.Kind.ATTEMPT_ENDED, name, session, "cancelled");
-                }
-            }
+            case "SETUP" -> setUp(session, connection);
+            case "TEARDOWN" -> ended(session, "cancelled");
             case "OPTIONS" -> write(connection, RtspMessage.response(200, "3", session, "X-Occupancy: x0:0.1\r\n", EMPTY));
             default -> { }
         }
     }
 
-    private void setUp(String session, Socket connection, Set<String> open) throws IOException {
+    private void setUp(String session, Socket connection) throws IOException {
         record.add(Event.Kind.ATTEMPT_BEGUN, name, session, "");
         if (answersSetUps) {
             record.add(Event.Kind.ATTEMPT_SERVED, name, session, "");
@@ -131,7 +132,24 @@
             write(connection, RtspMessage.response(200, "1", session, "",
                 ("v=0 " + name + " " + session).getBytes(StandardCharsets.ISO_8859_1)));
         } else {
-            open.add(session);
+            open.put(session, connection);
+        }
+    }
+
+    private boolean ended(String request, String why) {
+        boolean was = open.remove(request) != null;
+        if (was) {
+            record.add(Event.Kind.ATTEMPT_ENDED, name, request, why);
+        }
+        return was;
+    }
+
+    /** Refuses all set-ups that are open, with an RTSP status. */
+    public void refuseOpen(int status) throws IOException {
+        for (Map.Entry<String, Socket> setUp : Map.copyOf(open).entrySet()) {
+            if (ended(setUp.getKey(), "refused")) {
+                write(setUp.getValue(), RtspMessage.response(status, "1", setUp.getKey(), "", EMPTY));
+            }
         }
     }
 
--- /dev/null
+++ b/src/test/java/cypressvalve/soak/ClientGoneTest.java
@@ -0,0 +1,45 @@
+package cypressvalve.soak;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** No attempt begins for a client that has gone, first or further, however late the gateway's loop is. */
+@Timeout(60)
+class ClientGoneTest extends GatewayTrial {
+    private static final int CLIENTS = 16;
+    private static final long STANDSTILL_MILLIS = 250;
+
+    @Test
+    void noFurtherAttemptBeginsWhereTheRefusalIsReadBeforeTheCancelThatCameLongAgo() throws Exception {
+        start(3, 2_500, 2_900);
+        hosts.forEach(host -> host.answersSetUps(false));
+        List<ClientEmulator> clients = new ArrayList<>();
+        List<ClientEmulator.SetUp> requests = new ArrayList<>();
+        for (int i = 0; i < CLIENTS; i++) {
+            clients.add(client("client-" + i));
+            requests.add(request(2_900));
+            clients.get(i).send(requests.get(i));
+        }
+        assertTrue(record.await(Event.Kind.ATTEMPT_BEGUN, CLIENTS, MOST_MILLIS), "not all were forwarded");
+        gateway.suspend();
+        for (int i = 0; i < CLIENTS; i++) {
+            clients.get(i).cancel(requests.get(i).id());
+        }
+        for (MediaHostEmulator host : hosts) {
+            host.refuseOpen(500);
+        }
+        TimeUnit.MILLISECONDS.sleep(STANDSTILL_MILLIS); // How long the process stands still.
+        gateway.resume();
+        try (ClientEmulator later = client("later")) {
+            hosts.forEach(host -> host.answersSetUps(true));
+            later.send(request(2_900));
+            assertTrue(record.await(Event.Kind.ANSWER_SERVED, 1, MOST_MILLIS), "nobody is served afterwards");
+        }
+        assertRulesKept();
+    }
+}
