An answer whose body ran into the next message is spoilt wherever that begins

A client could be served with a description that no media host made (a wrong answer, rule lost): where Content-Length was too large, the body took in the message right behind it, and Rtsp.Reader found that out only if an empty line stood between the two. Now any body with the protocol's name in it is unreadable. The test's two cases failed before.

--- a/src/main/java/cypressvalve/host/rtsp/Rtsp.java
+++ b/src/main/java/cypressvalve/host/rtsp/Rtsp.java
@@ -141,7 +141,7 @@
             if (!begins(start, start.length)) {
                 throw new Unreadable("more bytes than Content-Length says");
             }
-            if (whole.status > 0 && new String(whole.body, StandardCharsets.ISO_8859_1).contains("\r\n\r\n" + VERSION)) {
+            if (whole.status > 0 && new String(whole.body, StandardCharsets.ISO_8859_1).contains(VERSION)) {
                 throw new Unreadable("fewer bytes than Content-Length says");
             }
         }
--- a/src/test/java/cypressvalve/host/rtsp/RtspTest.java
+++ b/src/test/java/cypressvalve/host/rtsp/RtspTest.java
@@ -79,6 +79,14 @@
         assertThrows(Rtsp.Unreadable.class, () -> read(longer + "\r\n" + ANSWER, 4096));
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: 00000000000000bb\r\nContent-Length: 0\r\n\r\n",
+        "ANNOUNCE rtsp://media/s RTSP/1.0\r\nSession: 00000000000000bb\r\nContent-Length: 0\r\n\r\n"})
+    void aBodyThatRunsIntoTheMessageRightBehindItIsUnreadable(String next) {
+        String longer = ANSWER.replace("Content-Length: 5", "Content-Length: " + (5 + next.length()));
+        assertThrows(Rtsp.Unreadable.class, () -> read(longer + next, 4096));
+    }
+
     @Test
     void halfAMessageIsNone() throws Rtsp.Unreadable {
         assertEquals(List.of(), read(ANSWER.substring(0, ANSWER.length() - 1), 4096));
