What has not left for a host when the list says that it drains never leaves

A set-up that waits for a connection to come up (as long as connectTimeoutNs allows), in the write queue of a host that hangs, or for the loop's next turn could reach a host later than the grace after it was told to drain or had gone (rule on drains). Found while reading what sends; not seen in the field. SessionCore now ends such attempts with NOT_SENT as the list comes, as Control may send them elsewhere at once. The unit test orders a set-up and the end of new work in one turn of the loop; no such call was there before, and the set-up was sent.

--- a/src/main/java/cypressvalve/host/HostClient.java
+++ b/src/main/java/cypressvalve/host/HostClient.java
@@ -82,6 +82,12 @@
     /** The list says that the host has gone, or is there again: its address may be another's by now. */
     default void gone(HostAddress host, boolean is) { }
 
+    /**
+     * The list says that the host drains or has gone: attempts of which no byte has left end with NOT_SENT, as they would
+     * reach it later than it may be sent anything new.
+     */
+    default void cancelUnsent(HostAddress host) { }
+
     /** Gives back idle connections. */
     void freeLinks(HostAddress host);
 
--- a/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
+++ b/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
@@ -231,6 +231,14 @@
         }
     }
 
+    @Override
+    public void cancelUnsent(HostAddress host) {
+        Pool pool = pools.get(host.id());
+        if (pool != null) {
+            List.copyOf(pool.lines).forEach(line -> List.copyOf(line.tries.values()).forEach(Try::cancelUnsent));
+        }
+    }
+
     @Override
     public void follow(HostAddress host, boolean on) {
         Pool pool = pool(host);
@@ -359,6 +367,13 @@
             }
         }
 
+        private void cancelUnsent() {
+            if (open() && (sent == null || line.duplex.takeBack(sent))) {
+                finish(Verdict.NOT_SENT);
+                thread.execute(() -> result.cameBack(Verdict.NOT_SENT, LoadReport.NONE));
+            }
+        }
+
         /** The line has ended under it. */
         private void broken(Verdict verdict) {
             if (!open()) {
--- a/src/main/java/cypressvalve/session/SessionCore.java
+++ b/src/main/java/cypressvalve/session/SessionCore.java
@@ -358,7 +358,13 @@
                 named.add(host);
             }
             control.listed(named, whole);
-            addresses.forEach((id, address) -> client.gone(address, hosts.get(id).state == MediaHost.State.GONE));
+            addresses.forEach((id, address) -> {
+                MediaHost.State state = hosts.get(id).state;
+                if (state != MediaHost.State.ACTIVE) {
+                    client.cancelUnsent(address);
+                }
+                client.gone(address, state == MediaHost.State.GONE);
+            });
             // Replaced hosts come under new ids for ever: those that are gone are told of, but not without end.
             if (hosts(MediaHost.State.GONE) > MOST_GONE) {
                 hosts.values().removeIf(h -> h.state == MediaHost.State.GONE && h.carried.isEmpty());
--- a/src/test/java/cypressvalve/host/rtsp/RtspHostClientTest.java
+++ b/src/test/java/cypressvalve/host/rtsp/RtspHostClientTest.java
@@ -262,6 +262,20 @@
         }
     }
 
+    @Test
+    void anAttemptThatHasNotLeftWhenItsHostBeginsToDrainNeverLeaves() throws Exception {
+        onLoop(() -> {
+            setUp("00000000000000aa");
+            client.cancelUnsent(host);
+            setUp("00000000000000bb");
+        });
+        try (Socket line = server.accept()) {
+            String first = message(reader(line));
+            assertTrue(first.startsWith("SETUP") && first.contains("00000000000000bb"), first);
+            assertEquals("back 00000000000000aa NOT_SENT", told.take());
+        }
+    }
+
     @Test
     void aRefusalThatMayAnswerTheCancelledAttemptBeforeProvesNothingOfThisOne() throws Exception {
         HostClient.Call[] call = new HostClient.Call[1];
