Before the earliest kill a gateway closes what clients may still send on

A request that a client sends on an open connection in the last instants before SIGKILL can't be answered (rule lost), and clients send until then; the protocol has a request that crosses a close sent again elsewhere, but not one that a kill meets. Now connections without an open request are read once more and closed 0.2 s before the earliest kill. The checker knows crossing requests (50 ms, nothing else open, no kill between), with doctored records on both sides of the bound.

--- a/src/main/java/cypressvalve/front/signal/SignalFront.java
+++ b/src/main/java/cypressvalve/front/signal/SignalFront.java
@@ -186,6 +186,19 @@
         return all.size();
     }
 
+    /** Ends our side of all connections on which no request is open, once all that has come was taken. */
+    public void closeIdle() {
+        List.copyOf(all).forEach(v -> v.duplex.readNow());
+        askFresh();
+        for (Viewers v : List.copyOf(all)) {
+            if (v.open.isEmpty() && !v.reader.within() && v.duplex.isOpen()) {
+                v.note(EventKind.CLIENT_CLOSED, "shutdown, no open request");
+                v.duplex.finish();
+                all.remove(v);
+            }
+        }
+    }
+
     /** Takes what has come on all connections, then closes them once what they are owed has left. */
     public void finish() {
         List.copyOf(all).forEach(v -> v.duplex.readNow());
--- a/src/main/java/cypressvalve/run/PlatformNode.java
+++ b/src/main/java/cypressvalve/run/PlatformNode.java
@@ -251,6 +251,9 @@
                 core.drain(() -> { });
                 core.answerBy(begun + shutdown.answersBy());
             }
+            if (since >= shutdown.closesAfter()) {
+                front.closeIdle();
+            }
             boolean busy = core.held(Session.State.OPENING) > 0 || core.held(Session.State.PLAYING) > 0 || !front.flushed();
             if (shutdown.mayEnd(since, busy, front.connections())) {
                 lastWords(done);
--- a/src/main/java/cypressvalve/run/ShutdownSchedule.java
+++ b/src/main/java/cypressvalve/run/ShutdownSchedule.java
@@ -7,10 +7,12 @@
  *
  * @param refusesAfter requests that come later are refused at once
  * @param answersBy by then every request that is open has its final answer
+ * @param closesAfter connections without an open request are closed from then on: what a client sent just before the kill
+ *     would have no answer, while what crosses a close it sends again elsewhere
  * @param earliestKill the soonest that the platform sends SIGKILL
  * @param endsBy the process ends by then, whatever is open
  */
-record ShutdownSchedule(long refusesAfter, long answersBy, long earliestKill, long endsBy) {
+record ShutdownSchedule(long refusesAfter, long answersBy, long closesAfter, long earliestKill, long endsBy) {
     private static final long MILLI = 1_000_000L;
     /** The platform counts longer deadlines as this. */
     private static final long LONGEST_DEADLINE = 3_000 * MILLI;
@@ -19,13 +21,16 @@
     private static final long STILL_SENDS = 750 * MILLI;
     /** An answer needs so long before the kill to be read: a loop that stands still is late by as much. */
     private static final long ANSWER_MARGIN = 300 * MILLI;
+    /** Between the close and the kill: a loop that stands still is late by as much. */
+    private static final long CLOSE_MARGIN = 200 * MILLI;
     /** Where the kill does not come, clients that hold a connection may still send for so long. */
     private static final long AFTER_KILL = 2_000 * MILLI;
 
     /** @param longestDeadline the longest time that a client waits for its answer, in nanoseconds */
     static ShutdownSchedule of(long longestDeadline) {
         long kill = Math.min(longestDeadline, LONGEST_DEADLINE) + KILL_AFTER_DEADLINE;
-        return new ShutdownSchedule(Math.min(STILL_SENDS, kill - ANSWER_MARGIN), kill - ANSWER_MARGIN, kill, kill + AFTER_KILL);
+        return new ShutdownSchedule(Math.min(STILL_SENDS, kill - ANSWER_MARGIN), kill - ANSWER_MARGIN,
+            kill - CLOSE_MARGIN, kill, kill + AFTER_KILL);
     }
 
     /**
--- a/src/main/java/cypressvalve/soak/ClientEmulator.java
+++ b/src/main/java/cypressvalve/soak/ClientEmulator.java
@@ -46,6 +46,7 @@
     private final DataOutputStream out;
     private final Set<Long> standing = ConcurrentHashMap.newKeySet();
     private volatile boolean closing;
+    private volatile boolean ended;
 
     /** Connects; throws where the gateway does not accept. */
     public ClientEmulator(String name, InetSocketAddress gateway, EventRecord record) throws IOException {
@@ -70,8 +71,9 @@
         parameter(parameters, HINT, "8000.0");
         parameter(parameters, FIGURES, "home:0;copies:" + request.copies() + ";top:4;viewer:" + id(request.id()));
         parameter(parameters, DESCRIPTION, "v=0 " + id(request.id()));
+        long before = record.now();
         write(SET_UP, request.id(), parameters.toByteArray());
-        record.add(Event.Kind.REQUEST_SENT, name, id(request.id()), String.valueOf(request.patienceMillis()));
+        record.add(before, Event.Kind.REQUEST_SENT, name, id(request.id()), String.valueOf(request.patienceMillis()));
     }
 
     /** Cancels a request that is open. */
@@ -111,6 +113,7 @@
                 take(new DataInputStream(new java.io.ByteArrayInputStream(message)));
             }
         } catch (IOException e) {
+            ended = true;
             if (!closing) {
                 record.add(Event.Kind.CONNECTION_ENDED, name, "", e.getClass().getSimpleName());
             }
@@ -133,7 +136,7 @@
 
     /** Whether the gateway has ended the connection, as far as this side has read. */
     public boolean ended() {
-        return record.events().stream().anyMatch(e -> e.kind() == Event.Kind.CONNECTION_ENDED && e.party().equals(name));
+        return ended;
     }
 
     @Override
--- a/src/main/java/cypressvalve/soak/RecordChecker.java
+++ b/src/main/java/cypressvalve/soak/RecordChecker.java
@@ -20,6 +20,8 @@
     private static final long GONE_SLACK_MICROS = 100_000;
     /** An answer this late earns nothing and breaks no rule. */
     private static final long LATE_ANSWER_MICROS = 500_000;
+    /** A request that crosses the close of a connection without an open request is sent again elsewhere, once. */
+    private static final long CROSSING_MICROS = 50_000;
     private static final long MICROS_PER_MILLI = 1_000;
 
     /** Which rule a violation breaks. */
@@ -37,13 +39,15 @@
     private record Attempt(String host, long begun, long ended) { }
 
     private final List<Violation> violations = new ArrayList<>();
+    private final List<Event> events;
 
-    private RecordChecker() {
+    private RecordChecker(List<Event> events) {
+        this.events = events;
     }
 
     /** All rules that the record breaks, by request. */
     public static List<Violation> check(List<Event> events) {
-        RecordChecker checker = new RecordChecker();
+        RecordChecker checker = new RecordChecker(events);
         Map<String, List<Event>> byRequest = new TreeMap<>();
         events.stream().filter(e -> !e.request().isEmpty())
             .forEach(e -> byRequest.computeIfAbsent(e.request(), request -> new ArrayList<>()).add(e));
@@ -70,7 +74,7 @@
         long due = sent.atMicros() + Long.parseLong(sent.detail()) * MICROS_PER_MILLI + LATE_ANSWER_MICROS;
         if (answers.size() > 1) {
             add(Rule.LOST, request, "answered " + answers.size() + " times", story);
-        } else if (answers.isEmpty() && !cancelled) {
+        } else if (answers.isEmpty() && !cancelled && !crossedClose(sent)) {
             add(Rule.LOST, request, end < due ? "no answer when the trial ended" : "no answer", story);
         } else if (!answers.isEmpty() && answers.get(0).atMicros() > due) {
             add(Rule.LOST, request, "answered after its time", story);
@@ -81,6 +85,19 @@
         }
     }
 
+    /** Whether the gateway, not its kill, closed the connection just then, and had answered all that came on it before. */
+    private boolean crossedClose(Event sent) {
+        long killed = events.stream().filter(e -> e.kind() == Event.Kind.SIGNAL && e.detail().equals("KILL"))
+            .mapToLong(Event::atMicros).min().orElse(Long.MAX_VALUE);
+        boolean closed = events.stream().anyMatch(e -> e.kind() == Event.Kind.CONNECTION_ENDED
+            && e.party().equals(sent.party()) && e.atMicros() <= Math.min(killed, sent.atMicros() + CROSSING_MICROS));
+        Set<String> answered = events.stream().filter(e -> e.kind() == Event.Kind.ANSWER_SERVED
+            || e.kind() == Event.Kind.ANSWER_REFUSED || e.kind() == Event.Kind.REQUEST_CANCELLED)
+            .map(Event::request).collect(Collectors.toSet());
+        return closed && events.stream().filter(e -> e.kind() == Event.Kind.REQUEST_SENT && e.party().equals(sent.party())
+            && e.atMicros() < sent.atMicros() - CROSSING_MICROS).allMatch(e -> answered.contains(e.request()));
+    }
+
     private void checkAttempts(String request, List<Event> story) {
         List<Attempt> attempts = attempts(story);
         for (int i = 1; i < attempts.size(); i++) {
--- a/src/test/java/cypressvalve/soak/RecordCheckerTest.java
+++ b/src/test/java/cypressvalve/soak/RecordCheckerTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -44,6 +45,24 @@
             event(1, Event.Kind.REQUEST_CANCELLED, "c", "")));
     }
 
+    private static List<RecordChecker.Rule> brokenByCloseAt(long micros, Event... before) {
+        List<Event> events = new ArrayList<>(List.of(before));
+        events.add(event(0, Event.Kind.REQUEST_SENT, "c", "100"));
+        events.add(new Event(micros, Event.Kind.CONNECTION_ENDED, "c", "", "EOF"));
+        return RecordChecker.check(events).stream().map(RecordChecker.Violation::rule).toList();
+    }
+
+    @Test
+    void aRequestThatCrossesTheCloseOfAnIdleConnectionIsSentAgainElsewhere() {
+        assertEquals(List.of(), brokenByCloseAt(50_000));
+        assertEquals(List.of(RecordChecker.Rule.LOST), brokenByCloseAt(50_001));
+        assertEquals(List.of(RecordChecker.Rule.LOST), brokenByCloseAt(10_000, new Event(9_999, Event.Kind.SIGNAL, "g", "",
+            "KILL")), "a kill is no close");
+        Event open = new Event(-60_000, Event.Kind.REQUEST_SENT, "c", "bb", "100");
+        assertEquals(List.of(RecordChecker.Rule.LOST, RecordChecker.Rule.LOST), brokenByCloseAt(10_000, open));
+        assertEquals(List.of(), brokenByCloseAt(10_000, open, new Event(-1, Event.Kind.ANSWER_REFUSED, "c", "bb", "34")));
+    }
+
     @Test
     void servedWhatNoHostMadeIsLost() {
         assertEquals(List.of(RecordChecker.Rule.LOST), broken(event(0, Event.Kind.REQUEST_SENT, "c", "100"),
