RtspHostClient in the field's names: attempts, connection pools, connections, outbound messages

Need: the earlier names (Try, Pool, Line, Word, Said, look, again, told) had to be explained. Change: names alone, no behaviour; Attempt, ConnectionPool, HostConnection, OutboundMessage, UnacknowledgedMessage, Probe, checkLiveness, reopen, received, resendUnread.

--- a/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
+++ b/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
@@ -35,32 +35,32 @@
     private static final int SET_UP = 1;
     private static final int TEARDOWN = 2;
     private static final int OPTIONS = 3;
-    private static final int USUAL = 16;
+    private static final int NORMAL_CLEARING = 16;
     private static final int WITHDRAWN = 31;
-    private static final int MOST_QUEUED = 256 * 1024;
-    /** Words for a host that wait for a connection: more than it can carry sessions. */
-    private static final int MOST_WORDS = 512;
+    private static final int MAX_QUEUED_BYTES = 256 * 1024;
+    /** Messages for a host that wait for a connection: more than it can carry sessions. */
+    private static final int MAX_OUTBOUND = 512;
     private static final long SWEEP_MS = 250;
-    /** A line of no use is still read for so long after its last byte: what ended is said on it. */
-    private static final long RETIRED = 1_000_000_000L;
+    /** A connection of no use is still read for so long after its last byte: what ended is said on it. */
+    private static final long RETIRED_GRACE = 1_000_000_000L;
     /** Part of the hosts' idle time after which we close first: a set-up must not cross their close. */
-    private static final double IDLE_PART = 0.7;
-    /** What was written so long before its line broke was read: whoever reads at all has done so by then. */
-    private static final long UNREAD = 2_000_000_000L;
-    /** A try's late or second answer is known by its line for so long; hosts are told how long we wait, which is less. */
-    private static final long PAST = 30_000_000_000L;
+    private static final double IDLE_SHARE = 0.7;
+    /** What was written so long before its connection broke was read: whoever reads at all has done so by then. */
+    private static final long UNREAD_WINDOW = 2_000_000_000L;
+    /** An attempt's late or second answer is known by its connection for so long: longer than hosts are told to wait. */
+    private static final long LATE_ANSWER_WINDOW = 30_000_000_000L;
     /**
      * A host that the list says has gone gets so long for its last words; then what it carried is over, whoever answers at
-     * its address: a line opened between its death and the list's word of it may have reached another.
+     * its address: a connection opened between its death and the list's word of it may have reached another.
      */
-    private static final long LAST_WORDS = 1_500_000_000L;
+    private static final long GONE_GRACE = 1_500_000_000L;
     /**
      * How long a host has to read that an attempt was cancelled, where it does not acknowledge that: its result is not
      * reported before, as a further attempt elsewhere might overtake the cancel on its way.
      */
     private static final long CANCEL_READ_WITHIN = 150_000_000L;
-    /** A line closed for want of room, where something plays, is opened again after this: ends must be heard in time. */
-    private static final long AGAIN = 3_000_000_000L;
+    /** A connection closed to make room, where something plays, is opened again after this: ends must be heard in time. */
+    private static final long REOPEN_AFTER = 3_000_000_000L;
 
     private final XnioIoThread thread;
     private final HostLimits limits;
@@ -68,15 +68,15 @@
     private final ByteBuffer buffer;
     private final long idle;
     private final int streams;
-    private final int mostLines;
+    private final int maxConnections;
     private final EventLog events;
     /** Connections begun so far; numbers them in the event log. */
     private long begun;
-    /** Lines held to all hosts, those that are not up yet counted. */
+    /** Connections held to all hosts, those that are not up yet counted. */
     private int held;
     /** By host, as long as it has connections or is followed. */
-    private final Map<Long, Pool> pools = new LinkedHashMap<>();
-    private long tests;
+    private final Map<Long, ConnectionPool> pools = new LinkedHashMap<>();
+    private long probes;
     private boolean closed;
 
     /**
@@ -87,13 +87,13 @@
      * @param buffer what is read into, shared by the thread's connections
      * @param events takes what happens to connections and attempts
      */
-    public RtspHostClient(XnioIoThread thread, HostLimits limits, long idle, int streams, int mostLines, ByteBuffer buffer,
-        Notes notes, EventLog events) {
+    public RtspHostClient(XnioIoThread thread, HostLimits limits, long idle, int streams, int maxConnections,
+        ByteBuffer buffer, Notes notes, EventLog events) {
         this.thread = thread;
         this.limits = limits;
         this.idle = idle;
         this.streams = Math.max(1, streams);
-        this.mostLines = mostLines;
+        this.maxConnections = maxConnections;
         this.buffer = buffer;
         this.notes = notes;
         this.events = events;
@@ -103,7 +103,7 @@
     private void sweepLater() {
         thread.executeAfter(() -> {
             if (!closed) {
-                List.copyOf(pools.values()).forEach(Pool::sweep);
+                List.copyOf(pools.values()).forEach(ConnectionPool::sweep);
                 sweepLater();
             }
         }, SWEEP_MS, TimeUnit.MILLISECONDS);
@@ -114,14 +114,15 @@
         return held;
     }
 
-    /** Whether one more line may be held; for it the longest idle one is closed, first where nothing plays. */
-    private boolean room() {
-        if (held < mostLines) {
+    /** Whether one more connection may be held; for it the longest idle one is closed, first where nothing plays. */
+    private boolean makeRoom() {
+        if (held < maxConnections) {
             return true;
         }
-        Line least = pools.values().stream().flatMap(p -> p.lines.stream())
-            .filter(l -> l.up && l.unused() && l.duplex.flushed())
-            .min(Comparator.comparing((Line l) -> l.pool.followed).thenComparingLong(l -> l.usedAt)).orElse(null);
+        HostConnection least = pools.values().stream().flatMap(p -> p.connections.stream())
+            .filter(connection -> connection.up && connection.unused() && connection.duplex.flushed())
+            .min(Comparator.comparing((HostConnection connection) -> connection.pool.followed)
+                .thenComparingLong(connection -> connection.usedAt)).orElse(null);
         if (least != null) {
             least.close("room for another host");
             least.pool.closedAt = System.nanoTime();
@@ -129,11 +130,11 @@
         return least != null;
     }
 
-    private Pool pool(HostAddress host) {
-        Pool pool = pools.get(host.id());
+    private ConnectionPool pool(HostAddress host) {
+        ConnectionPool pool = pools.get(host.id());
         if (pool == null || !pool.address.equals(host)) {
-            Pool old = pool;
-            pool = new Pool(host);
+            ConnectionPool old = pool;
+            pool = new ConnectionPool(host);
             pools.put(host.id(), pool);
             if (old != null) {
                 pool.followed = old.followed;
@@ -152,15 +153,15 @@
 
     @Override
     public Call setUp(HostAddress host, SetUpOrder order, SetUpResult result) {
-        Try t = new Try(order, result);
-        t.timer = after(order.maxWait(), t::timeUp);
-        t.line = pool(host).pick(order.playback());
-        if (t.line == null) {
-            thread.execute(() -> t.cameBack(Verdict.NOT_SENT, LoadReport.NONE));
+        Attempt attempt = new Attempt(order, result);
+        attempt.timer = after(order.maxWait(), attempt::timeUp);
+        attempt.connection = pool(host).pick(order.playback());
+        if (attempt.connection == null) {
+            thread.execute(() -> attempt.cameBack(Verdict.NOT_SENT, LoadReport.NONE));
         } else {
-            t.line.add(t);
+            attempt.connection.add(attempt);
         }
-        return t::withdraw;
+        return attempt::withdraw;
     }
 
     private Timer after(long delay, Runnable task) {
@@ -169,22 +170,22 @@
 
     @Override
     public void setRung(HostAddress host, String session, int rung) {
-        pool(host).say(new Word(id(session), Rtsp.request("SET_PARAMETER", "session", 4, id(session), null,
+        pool(host).send(new OutboundMessage(id(session), Rtsp.request("SET_PARAMETER", "session", 4, id(session), null,
             "X-Quality: " + rung), false));
     }
 
     @Override
     public void release(HostAddress host, String session) {
-        pool(host).say(released(id(session)));
+        pool(host).send(released(id(session)));
     }
 
     @Override
     public void move(HostAddress host, String session) {
-        pool(host).say(new Word(id(session), Rtsp.request("REDIRECT", "session", 4, id(session), null), true));
+        pool(host).send(new OutboundMessage(id(session), Rtsp.request("REDIRECT", "session", 4, id(session), null), true));
     }
 
-    private static Word released(String id) {
-        return new Word(id, teardown(id, USUAL), true);
+    private static OutboundMessage released(String id) {
+        return new OutboundMessage(id, teardown(id, NORMAL_CLEARING), true);
     }
 
     private static byte[] teardown(String id, int cause) {
@@ -194,14 +195,14 @@
 
     @Override
     public void probe(HostAddress host, ProbeResult result) {
-        Test test = new Test(result);
-        test.timer = after(limits.callTimeout(), () -> test.done(test.line == null || !test.line.up
+        Probe probe = new Probe(result);
+        probe.timer = after(limits.callTimeout(), () -> probe.done(probe.connection == null || !probe.connection.up
             ? Verdict.NO_CONNECTION : Verdict.TIMEOUT, LoadReport.NONE));
-        test.line = pool(host).pick(test.id);
-        if (test.line == null) {
-            thread.execute(() -> test.done(Verdict.NOT_SENT, LoadReport.NONE));
+        probe.connection = pool(host).pick(probe.id);
+        if (probe.connection == null) {
+            thread.execute(() -> probe.done(Verdict.NOT_SENT, LoadReport.NONE));
         } else {
-            test.line.ask(test, "load");
+            probe.connection.sendProbe(probe, "load");
         }
     }
 
@@ -212,47 +213,49 @@
 
     @Override
     public void freeLinks(HostAddress host) {
-        Pool pool = pools.get(host.id());
+        ConnectionPool pool = pools.get(host.id());
         if (pool != null) {
-            List.copyOf(pool.lines).stream().filter(Line::unused).skip(pool.followed ? 1 : 0)
-                .forEach(l -> l.close("no longer wanted"));
+            List.copyOf(pool.connections).stream().filter(HostConnection::unused).skip(pool.followed ? 1 : 0)
+                .forEach(connection -> connection.close("no longer wanted"));
         }
     }
 
     @Override
     public void gone(HostAddress host, boolean is) {
-        Pool pool = pools.get(host.id());
+        ConnectionPool pool = pools.get(host.id());
         if (pool != null && pool.gone != is) {
             pool.gone = is;
             pool.goneAt = System.nanoTime();
             if (pool.followed) {
-                pool.look();
+                pool.checkLiveness();
             }
         }
     }
 
     @Override
     public void cancelUnsent(HostAddress host) {
-        Pool pool = pools.get(host.id());
+        ConnectionPool pool = pools.get(host.id());
         if (pool != null) {
-            List.copyOf(pool.lines).forEach(line -> List.copyOf(line.tries.values()).forEach(Try::cancelUnsent));
+            for (HostConnection connection : List.copyOf(pool.connections)) {
+                List.copyOf(connection.attempts.values()).forEach(Attempt::cancelUnsent);
+            }
         }
     }
 
     @Override
     public void follow(HostAddress host, boolean on) {
-        Pool pool = pool(host);
+        ConnectionPool pool = pool(host);
         pool.followed = on;
         pool.lifeline = new Lifeline(System.nanoTime(), limits.connectTimeout());
         if (on) {
-            pool.look();
+            pool.checkLiveness();
         }
     }
 
     @Override
     public void close() {
         closed = true;
-        pools.values().forEach(p -> List.copyOf(p.lines).forEach(l -> l.duplexClose()));
+        pools.values().forEach(p -> List.copyOf(p.connections).forEach(connection -> connection.closeChannel()));
         pools.clear();
     }
 
@@ -261,9 +264,9 @@
      *
      * @param ends whether it ends the session: a host that never reads it would hold the session on
      */
-    private record Word(String session, byte[] bytes, boolean ends) { }
+    private record OutboundMessage(String session, byte[] bytes, boolean ends) { }
 
-    private record Said(Word word, long at) { }
+    private record UnacknowledgedMessage(OutboundMessage message, long at) { }
 
     /** Where a set-up attempt stands; it only moves downwards. */
     private enum AttemptState {
@@ -277,12 +280,12 @@
         DONE
     }
 
-    /** A set-up on its way. */
-    private final class Try {
+    /** A set-up attempt, from its order to its result. */
+    private final class Attempt {
         private final SetUpOrder order;
         private final SetUpResult result;
         private final long until;
-        private Line line;
+        private HostConnection connection;
         private Timer timer;
         /** As written; null before. */
         private byte[] sent;
@@ -290,7 +293,7 @@
         /** What is reported of it once it is known to be over; null unless it was cancelled. */
         private Verdict cancelVerdict;
 
-        private Try(SetUpOrder order, SetUpResult result) {
+        private Attempt(SetUpOrder order, SetUpResult result) {
             this.order = order;
             this.result = result;
             until = System.nanoTime() + order.maxWait();
@@ -315,22 +318,22 @@
             state = AttemptState.DONE;
             timer.cancel();
             leave();
-            events.record(EventKind.ATTEMPT_ENDED, order.playback(), line == null ? EventLog.NONE : line.number,
-                line == null ? EventLog.NONE : line.pool.address.id(), verdict);
+            events.record(EventKind.ATTEMPT_ENDED, order.playback(), connection == null ? EventLog.NONE : connection.number,
+                connection == null ? EventLog.NONE : connection.pool.address.id(), verdict);
         }
 
         private void leave() {
-            if (line != null) {
-                line.tries.remove(order.playback(), this);
-                line.cancelled.remove(order.playback(), this);
+            if (connection != null) {
+                connection.attempts.remove(order.playback(), this);
+                connection.cancelled.remove(order.playback(), this);
             }
         }
 
-        /** Takes back what waits in the line's queue, else tells the host; whether any of it can have left. */
+        /** Takes back what waits in the connection's queue, else tells the host; whether any of it can have left. */
         private boolean stop() {
-            boolean left = sent != null && !line.duplex.takeBack(sent);
+            boolean left = sent != null && !connection.duplex.takeBack(sent);
             if (left) {
-                line.gaveUp(order.playback());
+                connection.cancelledAt(order.playback());
             }
             return left;
         }
@@ -350,8 +353,8 @@
 
         /** An answer that has come but waits unread is no time-out: it is read first. */
         private void timeUp() {
-            if (line != null && line.up) {
-                line.duplex.readNow();
+            if (connection != null && connection.up) {
+                connection.duplex.readNow();
             }
             if (!open()) {
                 return;
@@ -359,8 +362,8 @@
             if (sent == null) {
                 cameBack(Verdict.NO_CONNECTION, LoadReport.NONE);
             } else if (stop()) {
-                // A line on which the host said nothing since is of no use.
-                line.retired |= line.heardAt < until - order.maxWait();
+                // A connection on which the host said nothing since is of no use.
+                connection.retired |= connection.heardAt < until - order.maxWait();
                 cancelled(Verdict.TIMEOUT);
             } else {
                 cameBack(Verdict.NOT_SENT, LoadReport.NONE);
@@ -368,20 +371,20 @@
         }
 
         private void cancelUnsent() {
-            if (open() && (sent == null || line.duplex.takeBack(sent))) {
+            if (open() && (sent == null || connection.duplex.takeBack(sent))) {
                 finish(Verdict.NOT_SENT);
                 thread.execute(() -> result.cameBack(Verdict.NOT_SENT, LoadReport.NONE));
             }
         }
 
-        /** The line has ended under it. */
+        /** The connection has ended under it. */
         private void broken(Verdict verdict) {
             if (!open()) {
                 return;
             }
             if (sent == null) {
                 cameBack(verdict == Verdict.BROKEN ? Verdict.NOT_SENT : verdict, LoadReport.NONE);
-            } else if (line.duplex.takeBack(sent)) {
+            } else if (connection.duplex.takeBack(sent)) {
                 cameBack(Verdict.NOT_SENT, LoadReport.NONE);
             } else {
                 cancelled(verdict);
@@ -399,7 +402,7 @@
             state = AttemptState.CANCELLED;
             timer.cancel();
             leave();
-            line.cancelled.put(order.playback(), this);
+            connection.cancelled.put(order.playback(), this);
             timer = after(CANCEL_READ_WITHIN, () -> cameBack(verdict, LoadReport.NONE));
             cancelVerdict = verdict;
         }
@@ -420,14 +423,14 @@
     }
 
     /** A probe on its way. */
-    private final class Test {
-        private final String id = String.format("%016x", ++tests);
+    private final class Probe {
+        private final String id = String.format("%016x", ++probes);
         private final ProbeResult result;
-        private Line line;
+        private HostConnection connection;
         private Timer timer;
         private boolean done;
 
-        private Test(ProbeResult result) {
+        private Probe(ProbeResult result) {
             this.result = result;
         }
 
@@ -435,108 +438,110 @@
             if (!done) {
                 done = true;
                 timer.cancel();
-                if (line != null) {
-                    line.tests.remove(id);
+                if (connection != null) {
+                    connection.probes.remove(id);
                 }
                 result.probed(verdict, report);
             }
         }
     }
 
-    /** What leads to one media host. */
-    private final class Pool {
+    /** The connections to one media host, and what waits for one. */
+    private final class ConnectionPool {
         private final HostAddress address;
-        private final List<Line> lines = new ArrayList<>();
-        private final ArrayDeque<Word> words = new ArrayDeque<>();
+        private final List<HostConnection> connections = new ArrayList<>();
+        private final ArrayDeque<OutboundMessage> outbound = new ArrayDeque<>();
         private boolean followed;
         /** The list says so: a connection to its address might reach another. */
         private boolean gone;
         private long goneAt;
-        /** When a line of it was closed to make room for another host's. */
+        /** When a connection of it was closed to make room for another host's. */
         private long closedAt = Long.MIN_VALUE / 2;
         private Lifeline lifeline = new Lifeline(System.nanoTime(), limits.connectTimeout());
 
-        private Pool(HostAddress address) {
+        private ConnectionPool(HostAddress address) {
             this.address = address;
         }
 
         /**
-         * A line for that set-up: the one on which an earlier try was given up, as on another the end of that might be
-         * read after it; not one on which an earlier try was answered, as a second copy of that answer would pass for this
-         * try's. Else one that carries none, else a new one, else that with the fewest; null if there is room for none.
+         * A connection for that set-up: the one on which an earlier attempt was given up, as on another the end of that
+         * might be read after it; not one on which an earlier attempt was answered, as a second copy would pass for this
+         * attempt's. Else one that carries none, else a new one, else that with the fewest; null if there is room for none.
          */
-        private Line pick(String id) {
-            Line best = null;
-            for (Line line : lines) {
-                if (!line.over && line.gaveUp.containsKey(id)) {
-                    return line;
+        private HostConnection pick(String id) {
+            HostConnection best = null;
+            for (HostConnection connection : connections) {
+                if (!connection.over && connection.cancelledAt.containsKey(id)) {
+                    return connection;
                 }
-                if (line.usable() && !line.refused.containsKey(id) && (best == null || line.load() < best.load())) {
-                    best = line;
+                boolean usable = connection.usable() && !connection.refusedAt.containsKey(id);
+                if (usable && (best == null || connection.load() < best.load())) {
+                    best = connection;
                 }
             }
-            boolean more = best == null || best.load() > 0 && lines.size() < limits.mostIdle();
-            return more && room() ? new Line(this) : best;
+            boolean more = best == null || best.load() > 0 && connections.size() < limits.mostIdle();
+            return more && makeRoom() ? new HostConnection(this) : best;
         }
 
-        private Line open() {
-            for (Line line : lines) {
-                if (line.up && !line.retired) {
-                    return line;
+        private HostConnection open() {
+            for (HostConnection connection : connections) {
+                if (connection.up && !connection.retired) {
+                    return connection;
                 }
             }
             return null;
         }
 
-        /** Says something that wants no answer on any line, as soon as there is one; the line, if it is known. */
-        private Line say(Word word) {
-            Line line = open();
-            if (line != null) {
-                line.say(word);
-            } else if (words.size() < MOST_WORDS && !gone) {
-                words.add(word);
-                if (lines.stream().allMatch(l -> l.retired) && room()) {
-                    new Line(this);
+        /** Says something that wants no answer on any connection, as soon as there is one; the connection, if it is known. */
+        private HostConnection send(OutboundMessage message) {
+            HostConnection connection = open();
+            if (connection != null) {
+                connection.send(message);
+            } else if (outbound.size() < MAX_OUTBOUND && !gone) {
+                outbound.add(message);
+                if (connections.stream().allMatch(candidate -> candidate.retired) && makeRoom()) {
+                    new HostConnection(this);
                 }
-                line = lines.stream().filter(l -> !l.up).findFirst().orElse(null);
+                connection = connections.stream().filter(candidate -> !candidate.up).findFirst().orElse(null);
             }
-            return line;
+            return connection;
         }
 
         /**
-         * What a host said last on a line that closed may be lost. It says what ended also on the next one opened: so
+         * What a host said last on a connection that closed may be lost. It says what ended also on the next one opened: so
          * one is, where something plays.
          */
-        private void again() {
+        private void reopen() {
             if (followed && gone) {
-                look();
-            } else if (followed && lines.size() < limits.mostIdle() && lines.stream().allMatch(l -> l.up) && room()) {
-                new Line(this);
+                checkLiveness();
+            } else if (followed && connections.size() < limits.mostIdle()
+                && connections.stream().allMatch(connection -> connection.up) && makeRoom()) {
+                new HostConnection(this);
             }
         }
 
-        private void look() {
+        private void checkLiveness() {
             long now = System.nanoTime();
-            Line line = open();
-            if (line == null && gone) {
-                line = lines.stream().filter(l -> l.up).findFirst().orElse(null);
+            HostConnection connection = open();
+            if (connection == null && gone) {
+                connection = connections.stream().filter(candidate -> candidate.up).findFirst().orElse(null);
             }
-            if (gone && now - goneAt >= LAST_WORDS) {
+            if (gone && now - goneAt >= GONE_GRACE) {
                 lost();
                 return;
             }
-            if (line == null && now - closedAt < AGAIN) {
+            if (connection == null && now - closedAt < REOPEN_AFTER) {
                 return;
             }
-            switch (lifeline.step(now, line != null)) {
+            switch (lifeline.step(now, connection != null)) {
                 case CONNECT -> {
                     if (gone) {
                         lost(); // Whoever answers at its address now is another.
-                    } else if (room()) {
-                        new Line(this);
+                    } else if (makeRoom()) {
+                        new HostConnection(this);
                     }
                 }
-                case TEST -> line.ask(null, "ping");
+                case TEST -> connection.sendProbe(null, "ping");
                 case LOST -> lost();
                 default -> { }
             }
@@ -544,7 +549,7 @@
 
         private void lost() {
             followed = false;
-            words.clear();
+            outbound.clear();
             lifeline = new Lifeline(System.nanoTime(), limits.connectTimeout());
             events.record(EventKind.HOST_LOST, null, EventLog.NONE, address.id(), gone ? "gone from the list" : "unreachable");
             notes.lost(address.id());
@@ -553,44 +558,44 @@
         private void sweep() {
             long now = System.nanoTime();
             if (followed) {
-                look();
-            }
-            for (Line line : List.copyOf(lines)) {
-                line.gaveUp.values().removeIf(at -> now - at > PAST);
-                line.refused.values().removeIf(at -> now - at > PAST);
-                line.said.removeIf(w -> now - w.at > UNREAD);
-                boolean spare = line.retired ? now - line.usedAt > RETIRED : !followed && now - line.usedAt > idle * IDLE_PART;
-                if (line.up && line.unused() && spare) {
-                    line.close(line.retired ? "retired" : "idle");
-                    again();
+                checkLiveness();
+            }
+            for (HostConnection connection : List.copyOf(connections)) {
+                connection.cancelledAt.values().removeIf(at -> now - at > LATE_ANSWER_WINDOW);
+                connection.refusedAt.values().removeIf(at -> now - at > LATE_ANSWER_WINDOW);
+                connection.unacknowledged.removeIf(w -> now - w.at > UNREAD_WINDOW);
+                boolean spare = connection.retired ? now - connection.usedAt > RETIRED_GRACE : !followed && now - connection.usedAt > idle * IDLE_SHARE;
+                if (connection.up && connection.unused() && spare) {
+                    connection.close(connection.retired ? "retired" : "idle");
+                    reopen();
                 }
             }
-            if (lines.isEmpty() && !followed && pools.get(address.id()) == this) {
+            if (connections.isEmpty() && !followed && pools.get(address.id()) == this) {
                 pools.remove(address.id());
             }
         }
 
         private void retire() {
             followed = false;
-            lines.forEach(l -> l.retired = true);
-            List.copyOf(lines).stream().filter(Line::unused).forEach(l -> l.close("address replaced"));
+            connections.forEach(connection -> connection.retired = true);
+            List.copyOf(connections).stream().filter(HostConnection::unused).forEach(connection -> connection.close("address replaced"));
         }
     }
 
     /** One connection to a media host. */
-    private final class Line implements Duplex.Taker {
-        private final Pool pool;
+    private final class HostConnection implements Duplex.Taker {
+        private final ConnectionPool pool;
         private final long number = ++begun;
-        private final Map<String, Try> tries = new LinkedHashMap<>();
-        private final Map<String, Test> tests = new LinkedHashMap<>();
-        /** Set-ups that were cancelled here, or with this line, and that the host may still hold. */
-        private final Map<String, Try> cancelled = new HashMap<>();
-        /** Set-ups given up on this line, and when: an answer may still come. */
-        private final Map<String, Long> gaveUp = new HashMap<>();
+        private final Map<String, Attempt> attempts = new LinkedHashMap<>();
+        private final Map<String, Probe> probes = new LinkedHashMap<>();
+        /** Set-ups that were cancelled here, or with this connection, and that the host may still hold. */
+        private final Map<String, Attempt> cancelled = new HashMap<>();
+        /** Set-ups given up on this connection, and when: an answer may still come. */
+        private final Map<String, Long> cancelledAt = new HashMap<>();
         /** Set-ups that were answered here, but not to play, and when: the answer may come again. */
-        private final Map<String, Long> refused = new HashMap<>();
-        /** What ended sessions and left last: if the line breaks, it may not have been read. */
-        private final ArrayDeque<Said> said = new ArrayDeque<>();
+        private final Map<String, Long> refusedAt = new HashMap<>();
+        /** What ended sessions and left last: if the connection breaks, it may not have been read. */
+        private final ArrayDeque<UnacknowledgedMessage> unacknowledged = new ArrayDeque<>();
         private final List<byte[]> waiting = new ArrayList<>();
         private final Rtsp.Reader reader = new Rtsp.Reader();
         private final IoFuture<StreamConnection> connecting;
@@ -603,9 +608,9 @@
         private long usedAt = System.nanoTime();
         private long heardAt = Long.MIN_VALUE / 2;
 
-        private Line(Pool pool) {
+        private HostConnection(ConnectionPool pool) {
             this.pool = pool;
-            pool.lines.add(this);
+            pool.connections.add(this);
             held++;
             note(EventKind.HOST_CONNECTING, null);
             connecting = thread.openStreamConnection(
@@ -619,23 +624,23 @@
             }, null);
         }
 
-        private void opened(StreamConnection connection) {
+        private void opened(StreamConnection channel) {
             timer.cancel();
             if (over || closed) {
-                IoUtils.safeClose(connection);
+                IoUtils.safeClose(channel);
                 return;
             }
             up = true;
             note(EventKind.HOST_CONNECTED, null);
-            duplex = new Duplex(connection, buffer, MOST_QUEUED, this);
+            duplex = new Duplex(channel, buffer, MAX_QUEUED_BYTES, this);
             duplex.start();
             pool.lifeline.connected(System.nanoTime());
-            while (!pool.words.isEmpty()) {
-                say(pool.words.poll());
+            while (!pool.outbound.isEmpty()) {
+                send(pool.outbound.poll());
             }
             waiting.forEach(this::write);
             waiting.clear();
-            List.copyOf(tries.values()).forEach(this::send);
+            List.copyOf(attempts.values()).forEach(this::sendInNextTurn);
         }
 
         private void unreached() {
@@ -646,33 +651,33 @@
             note(EventKind.HOST_CLOSED, "never came up");
             timer.cancel();
             connecting.cancel();
-            dropped();
+            removeFromPool();
             pool.lifeline.unreached(System.nanoTime());
             ended(Verdict.NO_CONNECTION);
             if (pool.followed) {
-                pool.look();
-            } else if (pool.lines.isEmpty()) {
-                pool.words.clear();
+                pool.checkLiveness();
+            } else if (pool.connections.isEmpty()) {
+                pool.outbound.clear();
             }
         }
 
         private boolean usable() {
-            return !retired && !over && tries.size() < streams
+            return !retired && !over && attempts.size() < streams
                 && (up || System.nanoTime() - usedAt < limits.connectTimeout() / 2);
         }
 
         private int load() {
-            return tries.size() + tests.size();
+            return attempts.size() + probes.size();
         }
 
         private boolean unused() {
-            return tries.isEmpty() && tests.isEmpty();
+            return attempts.isEmpty() && probes.isEmpty();
         }
 
-        private void add(Try t) {
-            tries.put(t.order.playback(), t);
+        private void add(Attempt attempt) {
+            attempts.put(attempt.order.playback(), attempt);
             if (up) {
-                send(t);
+                sendInNextTurn(attempt);
             }
         }
 
@@ -680,26 +685,26 @@
          * Sends it with the loop's next turn, if it was not withdrawn by then: what led to it may have been read before
          * its client's cancel that came earlier, as connections are read in any order.
          */
-        private void send(Try t) {
+        private void sendInNextTurn(Attempt attempt) {
             thread.execute(() -> {
-                if (t.state == AttemptState.WAITING && !over && !closed) {
-                    sendNow(t);
+                if (attempt.state == AttemptState.WAITING && !over && !closed) {
+                    sendNow(attempt);
                 }
             });
         }
 
-        private void sendNow(Try t) {
-            t.sent(t.message());
-            write(t.sent);
-            events.record(EventKind.ATTEMPT_SENT, t.order.playback(), number, pool.address.id(),
+        private void sendNow(Attempt attempt) {
+            attempt.sent(attempt.message());
+            write(attempt.sent);
+            events.record(EventKind.ATTEMPT_SENT, attempt.order.playback(), number, pool.address.id(),
                 duplex.flushed() ? null : "queued");
         }
 
-        private void ask(Test test, String what) {
-            String id = test == null ? String.format("%016x", ++RtspHostClient.this.tests) : test.id;
+        private void sendProbe(Probe probe, String what) {
+            String id = probe == null ? String.format("%016x", ++RtspHostClient.this.probes) : probe.id;
             byte[] message = Rtsp.request("OPTIONS", what, OPTIONS, id, null);
-            if (test != null) {
-                tests.put(id, test);
+            if (probe != null) {
+                probes.put(id, probe);
             }
             if (up) {
                 write(message);
@@ -708,39 +713,39 @@
             }
         }
 
-        private void gaveUp(String id) {
-            gaveUp.put(id, System.nanoTime());
+        private void cancelledAt(String id) {
+            cancelledAt.put(id, System.nanoTime());
             write(teardown(id, -1));
             events.record(EventKind.ATTEMPT_CANCELLED, id, number, pool.address.id(), duplex.flushed() ? null : "queued");
         }
 
-        private void say(Word word) {
-            if (word.ends) {
-                said.add(new Said(word, System.nanoTime()));
+        private void send(OutboundMessage message) {
+            if (message.ends) {
+                unacknowledged.add(new UnacknowledgedMessage(message, System.nanoTime()));
             }
-            write(word.bytes);
+            write(message.bytes);
         }
 
-        private void dropped() {
-            if (pool.lines.remove(this)) {
+        private void removeFromPool() {
+            if (pool.connections.remove(this)) {
                 held--;
             }
         }
 
         /**
-         * What ends sessions and may not have been read goes out again on another line: a host that hears it twice does
-         * nothing. So does the end of a try that was given up here, as its answer may have crossed that: further tries of
-         * it then go out on that line, behind its end.
+         * What ends sessions and may not have been read goes out again on another connection: a host that hears it twice does
+         * nothing. So does the end of an attempt that was given up here, as its answer may have crossed that: further attempts of
+         * it then go out on that connection, behind its end.
          */
-        private void sayAgain() {
+        private void resendUnread() {
             long now = System.nanoTime();
-            said.stream().filter(w -> now - w.at < UNREAD).forEach(w -> pool.say(w.word));
-            said.clear();
-            gaveUp.forEach((id, at) -> {
-                if (now - at < UNREAD && pool.lines.stream().noneMatch(l -> l.tries.containsKey(id))) {
-                    Line line = pool.say(released(id));
-                    if (line != null) {
-                        line.gaveUp.put(id, now);
+            unacknowledged.stream().filter(w -> now - w.at < UNREAD_WINDOW).forEach(w -> pool.send(w.message));
+            unacknowledged.clear();
+            cancelledAt.forEach((id, at) -> {
+                if (now - at < UNREAD_WINDOW && pool.connections.stream().noneMatch(connection -> connection.attempts.containsKey(id))) {
+                    HostConnection connection = pool.send(released(id));
+                    if (connection != null) {
+                        connection.cancelledAt.put(id, now);
                     }
                 }
             });
@@ -751,7 +756,7 @@
             duplex.write(message);
         }
 
-        private void duplexClose() {
+        private void closeChannel() {
             over = true;
             if (duplex != null) {
                 duplex.close();
@@ -762,28 +767,28 @@
 
         private void close(String why) {
             note(EventKind.HOST_CLOSED, why);
-            duplexClose();
-            dropped();
+            closeChannel();
+            removeFromPool();
         }
 
         private void note(EventKind kind, String detail) {
             events.record(kind, null, number, pool.address.id(), detail);
         }
 
-        /** All that is open on the line ends so; what was sent may have run. */
+        /** All that is open on the connection ends so; what was sent may have run. */
         private void ended(Verdict verdict) {
-            List.copyOf(tries.values()).forEach(t -> t.broken(verdict));
-            List.copyOf(tests.values()).forEach(t -> t.done(verdict, LoadReport.NONE));
+            List.copyOf(attempts.values()).forEach(attempt -> attempt.broken(verdict));
+            List.copyOf(probes.values()).forEach(attempt -> attempt.done(verdict, LoadReport.NONE));
         }
 
         @Override
         public void closed() {
             over = true;
             note(EventKind.HOST_CLOSED, "by the host, or broken");
-            dropped();
-            sayAgain();
+            removeFromPool();
+            resendUnread();
             ended(Verdict.BROKEN);
-            pool.again();
+            pool.reopen();
         }
 
         @Override
@@ -798,9 +803,9 @@
                 }
             } catch (Rtsp.Unreadable e) {
                 close(e.getMessage());
-                sayAgain();
+                resendUnread();
                 ended(Verdict.BROKEN);
-                pool.again();
+                pool.reopen();
             }
         }
 
@@ -808,7 +813,7 @@
             if (message.status() >= 200) {
                 answered(message);
             } else if (message.status() == 0) {
-                told(message);
+                received(message);
             }
         }
 
@@ -828,33 +833,33 @@
 
         private void answered(Rtsp message) throws Rtsp.Unreadable {
             LoadReport report = Occupancy.read(message.field("x-occupancy"));
-            Test test = tests.get(message.session());
-            Try t = tries.get(message.session());
+            Probe probe = probes.get(message.session());
+            Attempt attempt = attempts.get(message.session());
             if (message.sequence() == TEARDOWN || message.sequence() == SET_UP && message.status() != 200) {
                 cancelRead(message.session());
             }
             if (message.sequence() == OPTIONS) {
-                if (test != null) {
-                    test.done(message.status() == 200 ? Verdict.OK : Verdict.ERROR, report);
+                if (probe != null) {
+                    probe.done(message.status() == 200 ? Verdict.OK : Verdict.ERROR, report);
                 }
-            } else if (message.sequence() == SET_UP && t == null) {
-                if (message.status() == 200 && gaveUp.containsKey(message.session())) {
-                    say(released(message.session()));
+            } else if (message.sequence() == SET_UP && attempt == null) {
+                if (message.status() == 200 && cancelledAt.containsKey(message.session())) {
+                    send(released(message.session()));
                 }
             } else if (message.sequence() == TEARDOWN) {
-                said.removeIf(w -> w.word.session.equals(message.session()));
+                unacknowledged.removeIf(w -> w.message.session.equals(message.session()));
             } else if (message.sequence() == SET_UP && message.status() == 200) {
-                checkWhole(t.order.description(), message.body());
-                t.finish(Verdict.OK);
-                gaveUp.remove(message.session()); // A second copy must not end what plays.
-                t.result.started(report, message.body());
+                checkWhole(attempt.order.description(), message.body());
+                attempt.finish(Verdict.OK);
+                cancelledAt.remove(message.session()); // A second copy must not end what plays.
+                attempt.result.started(report, message.body());
             } else if (message.sequence() == SET_UP) {
-                refused.put(message.session(), heardAt);
-                if (gaveUp.containsKey(message.session())) {
-                    t.unproven(); // It may be the late answer to the attempt before, which proves nothing of this one.
+                refusedAt.put(message.session(), heardAt);
+                if (cancelledAt.containsKey(message.session())) {
+                    attempt.unproven(); // It may be the late answer to the attempt before, which proves nothing of this one.
                     return;
                 }
-                t.cameBack(switch (message.status()) {
+                attempt.cameBack(switch (message.status()) {
                     case 453 -> Verdict.FULL;
                     case 454 -> Verdict.NOT_SENT;
                     case 504 -> Verdict.BROKEN;
@@ -864,26 +869,26 @@
         }
 
         private void cancelRead(String session) {
-            Try attempt = cancelled.get(session);
+            Attempt attempt = cancelled.get(session);
             if (attempt != null) {
                 attempt.cancelRead();
             }
         }
 
-        private void told(Rtsp message) {
+        private void received(Rtsp message) {
             long host = pool.address.id();
             switch (message.method()) {
                 case "TEARDOWN" -> {
                     write(Rtsp.response(200, "OK", Math.max(0, message.sequence()), message.session()));
                     cancelRead(message.session());
-                    Try t = tries.get(message.session());
+                    Attempt attempt = attempts.get(message.session());
                     Verdict verdict = switch (message.cause()) {
-                        case USUAL -> Verdict.OK;
+                        case NORMAL_CLEARING -> Verdict.OK;
                         case WITHDRAWN -> Verdict.WITHDRAWN;
                         default -> Verdict.BROKEN;
                     };
-                    if (t != null) {
-                        t.cameBack(Verdict.BROKEN, Occupancy.read(message.field("x-occupancy")));
+                    if (attempt != null) {
+                        attempt.cameBack(Verdict.BROKEN, Occupancy.read(message.field("x-occupancy")));
                     } else {
                         notes.ended(host, message.session(), verdict);
                     }
