Late answers to a cancelled attempt are kept apart from those to the next one at that host

RTSP on the platform matches answers by session alone, so a host's late answer to a cancelled attempt could pass for the next attempt's: a late 200 stood as a session though the next attempt was refused (left standing, rule lost), and after a late refusal the next attempt took the same connection, where a second copy of it would count. Found by review of what a cancel leaves open; the platform names hosts that answer late or twice. Now a late answer sends the next attempt to another connection, and a refusal behind a 200 that may not have been its own ends the session on both sides. Two tests, both failed before (no end told; no second connection).

--- a/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
+++ b/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
@@ -563,6 +563,7 @@
             for (HostConnection connection : List.copyOf(connections)) {
                 connection.cancelledAt.values().removeIf(at -> now - at > LATE_ANSWER_WINDOW);
                 connection.refusedAt.values().removeIf(at -> now - at > LATE_ANSWER_WINDOW);
+                connection.ambiguous.values().removeIf(at -> now - at > LATE_ANSWER_WINDOW);
                 connection.unacknowledged.removeIf(w -> now - w.at > UNREAD_WINDOW);
                 boolean spare = connection.retired ? now - connection.usedAt > RETIRED_GRACE : !followed && now - connection.usedAt > idle * IDLE_SHARE;
                 if (connection.up && connection.unused() && spare) {
@@ -594,6 +595,8 @@
         private final Map<String, Long> cancelledAt = new HashMap<>();
         /** Set-ups that were answered here, but not to play, and when: the answer may come again. */
         private final Map<String, Long> refusedAt = new HashMap<>();
+        /** Set-ups that play by an answer that may have been the one to a cancelled attempt before, and since when. */
+        private final Map<String, Long> ambiguous = new HashMap<>();
         /** What ended sessions and left last: if the connection breaks, it may not have been read. */
         private final ArrayDeque<UnacknowledgedMessage> unacknowledged = new ArrayDeque<>();
         private final List<byte[]> waiting = new ArrayList<>();
@@ -835,23 +838,21 @@
             LoadReport report = Occupancy.read(message.field("x-occupancy"));
             Probe probe = probes.get(message.session());
             Attempt attempt = attempts.get(message.session());
-            if (message.sequence() == TEARDOWN || message.sequence() == SET_UP && message.status() != 200) {
-                cancelRead(message.session());
-            }
             if (message.sequence() == OPTIONS) {
                 if (probe != null) {
                     probe.done(message.status() == 200 ? Verdict.OK : Verdict.ERROR, report);
                 }
             } else if (message.sequence() == SET_UP && attempt == null) {
-                if (message.status() == 200 && cancelledAt.containsKey(message.session())) {
-                    send(released(message.session()));
-                }
+                answeredLate(message);
             } else if (message.sequence() == TEARDOWN) {
                 unacknowledged.removeIf(w -> w.message.session.equals(message.session()));
+                cancelRead(message.session());
             } else if (message.sequence() == SET_UP && message.status() == 200) {
                 checkWhole(attempt.order.description(), message.body());
                 attempt.finish(Verdict.OK);
-                cancelledAt.remove(message.session()); // A second copy must not end what plays.
+                if (cancelledAt.remove(message.session()) != null) { // A second copy must not end what plays.
+                    ambiguous.put(message.session(), heardAt);
+                }
                 attempt.result.started(report, message.body());
             } else if (message.sequence() == SET_UP) {
                 refusedAt.put(message.session(), heardAt);
@@ -868,6 +869,27 @@
             }
         }
 
+        /** An answer to what was cancelled here, or a second one. */
+        private void answeredLate(Rtsp message) {
+            String session = message.session();
+            if (message.status() == 200) {
+                if (cancelledAt.remove(session) != null) {
+                    refusedAt.put(session, heardAt);
+                    send(released(session));
+                }
+                return;
+            }
+            if (cancelledAt.remove(session) != null) {
+                refusedAt.put(session, heardAt);
+            }
+            if (ambiguous.remove(session) != null) {
+                // The answer that it plays was the one to the attempt before: this refuses the attempt that counted as playing.
+                send(released(session));
+                notes.ended(pool.address.id(), session, Verdict.BROKEN);
+            }
+            cancelRead(session);
+        }
+
         private void cancelRead(String session) {
             Attempt attempt = cancelled.get(session);
             if (attempt != null) {
--- a/src/test/java/cypressvalve/host/rtsp/RtspHostClientTest.java
+++ b/src/test/java/cypressvalve/host/rtsp/RtspHostClientTest.java
@@ -294,6 +294,43 @@
         }
     }
 
+    @Test
+    void aSessionIsOverWhereItsAnswerWasTheOneToTheCancelledAttemptBefore() throws Exception {
+        HostClient.Call[] call = new HostClient.Call[1];
+        onLoop(() -> call[0] = setUp("00000000000000aa"));
+        try (Socket line = server.accept()) {
+            BufferedReader in = reader(line);
+            message(in);
+            onLoop(() -> call[0].withdraw());
+            assertTrue(message(in).startsWith("TEARDOWN"));
+            assertEquals("back 00000000000000aa WITHDRAWN", told.take());
+            onLoop(() -> setUp("00000000000000aa"));
+            assertTrue(message(in).startsWith("SETUP"));
+            say(line, "RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: 00000000000000aa", "first's");
+            assertEquals("started 00000000000000aa first's", told.take());
+            say(line, "RTSP/1.0 453 Full\r\nCSeq: 1\r\nSession: 00000000000000aa", "");
+            assertEquals("ended 00000000000000aa BROKEN", told.take());
+        }
+    }
+
+    @Test
+    void afterALateRefusalTheNextAttemptTakesAnotherConnection() throws Exception {
+        HostClient.Call[] call = new HostClient.Call[1];
+        onLoop(() -> call[0] = setUp("00000000000000aa"));
+        try (Socket first = server.accept()) {
+            BufferedReader in = reader(first);
+            message(in);
+            onLoop(() -> call[0].withdraw());
+            assertTrue(message(in).startsWith("TEARDOWN"));
+            say(first, "RTSP/1.0 500 No\r\nCSeq: 1\r\nSession: 00000000000000aa", "");
+            assertEquals("back 00000000000000aa WITHDRAWN", told.take());
+            onLoop(() -> setUp("00000000000000aa"));
+            try (Socket second = server.accept()) {
+                assertTrue(message(reader(second)).startsWith("SETUP"), "a second copy would pass for its answer");
+            }
+        }
+    }
+
     /** A second copy of the first answer, some milliseconds late, would pass for the second's. */
     @Test
     void aTryAfterAnAnsweredOneTakesAnotherLine() throws Exception {
