SignalFront in the field's names: client connections, pending requests and releases

Need: Viewers, Waiting, Owed, fresh, used, usual and told-elsewhere had to be explained. Change: names alone, no behaviour.

--- a/src/main/java/cypressvalve/front/signal/SignalFront.java
+++ b/src/main/java/cypressvalve/front/signal/SignalFront.java
@@ -31,34 +31,34 @@
 public final class SignalFront {
     private static final long SECOND = 1_000_000_000L;
     /** A peer that has said nothing whole, or nothing that a viewer says, is closed after this; it is owed that in 3 s. */
-    private static final long UNHEARD = 3 * SECOND / 2;
+    private static final long SILENCE_LIMIT = 3 * SECOND / 2;
     /** A message that is not whole so long after its first byte has a sender that will not complete it. */
-    private static final long PARTIAL = 5 * SECOND / 2;
+    private static final long PARTIAL_MESSAGE_LIMIT = 5 * SECOND / 2;
     /** A connection with no session is closed after this: viewers themselves close theirs after 4 s. */
-    private static final long IDLE = 6 * SECOND;
+    private static final long IDLE_LIMIT = 6 * SECOND;
     /** An end that could not be told is kept so long: its viewer is owed it for 8 s. */
-    private static final long OWED = 10 * SECOND;
+    private static final long RELEASE_KEPT = 10 * SECOND;
     /** An end written so long before its connection broke was read: whoever reads at all has done so by then. */
-    private static final long UNREAD = 2 * SECOND;
+    private static final long UNREAD_WINDOW = 2 * SECOND;
     /** Other connections on which an end goes out whose own has gone: one of them may be no usual viewer's. */
-    private static final int OTHERS = 3;
+    private static final int OTHER_CONNECTIONS = 3;
     /** Set-ups that one connection may have open: several times what a busy gateway takes in a second. */
-    private static final int MOST_OPEN = 256;
+    private static final int MAX_OPEN_REQUESTS = 256;
     /** Ids of set-ups are remembered so long, and so many: none is used twice, and who does is no viewer. */
-    private static final long USED = 30 * SECOND;
-    private static final int MOST_USED = 4096;
-    private static final int MOST_QUEUED = 256 * 1024;
+    private static final long USED_ID_KEPT = 30 * SECOND;
+    private static final int MAX_USED_IDS = 4096;
+    private static final int MAX_QUEUED_BYTES = 256 * 1024;
     /** Ends remembered: more than a busy gateway tells in the time that they are kept. */
-    private static final int MOST_OWED = 4096;
+    private static final int MAX_PENDING_RELEASES = 4096;
     /** Q.850: no circuit, that is no room now; a failure; a usual end. */
     private static final int NO_ROOM = 34;
     private static final int FAILURE = 41;
-    private static final int USUAL = 16;
+    private static final int NORMAL_CLEARING = 16;
 
     private final SessionCore core;
     private final Settings settings;
     private final ToLongFunction<String> hosts;
-    private final int mostConnections;
+    private final int maxConnections;
     private final ByteBuffer buffer;
     private final Executor turn;
     private final EventLog events;
@@ -68,32 +68,32 @@
      * Set-ups read in this turn of the loop, by session: they go on with the next, once all that came was read. Their
      * viewers may have left meanwhile, and connections are read in any order.
      */
-    private final Map<Long, Waiting> fresh = new LinkedHashMap<>();
-    private final Map<Long, Long> used = new LinkedHashMap<>();
-    private final Set<Viewers> all = new LinkedHashSet<>();
+    private final Map<Long, PendingRequest> unasked = new LinkedHashMap<>();
+    private final Map<Long, Long> usedIds = new LinkedHashMap<>();
+    private final Set<ClientConnection> clients = new LinkedHashSet<>();
     /** By session, the oldest first: ends of the last seconds, told or not. */
-    private final Map<Long, Owed> owed = new LinkedHashMap<>();
+    private final Map<Long, PendingRelease> pendingReleases = new LinkedHashMap<>();
     private boolean ready;
 
     /** The end of what stood, from when its viewer is owed it until it was surely read or is owed no more. */
-    private static final class Owed {
+    private static final class PendingRelease {
         private final byte[] message;
         private final long since;
         /** Where it was written last, and when; null where it waits for a connection. */
-        private Viewers on;
+        private ClientConnection on;
         private long toldAt;
         /** How many other connections it goes out on yet. */
         private int others;
 
-        private Owed(byte[] message, long since) {
+        private PendingRelease(byte[] message, long since) {
             this.message = message;
             this.since = since;
         }
 
-        private void tell(Viewers viewers, long now) {
-            on = viewers;
+        private void tell(ClientConnection client, long now) {
+            on = client;
             toldAt = now;
-            viewers.duplex.write(message);
+            client.duplex.write(message);
         }
     }
 
@@ -104,12 +104,12 @@
      * @param turn runs what it is given in the loop's next turn
      * @param events takes what happens to connections and requests
      */
-    public SignalFront(SessionCore core, Settings settings, ToLongFunction<String> hosts, int mostConnections,
+    public SignalFront(SessionCore core, Settings settings, ToLongFunction<String> hosts, int maxConnections,
         ByteBuffer buffer, Executor turn, EventLog events) {
         this.core = core;
         this.settings = settings;
         this.hosts = hosts;
-        this.mostConnections = mostConnections;
+        this.maxConnections = maxConnections;
         this.buffer = buffer;
         this.turn = turn;
         this.events = events;
@@ -122,55 +122,55 @@
 
     /** A connection from viewers came. */
     public void accept(StreamConnection connection) {
-        if (all.size() >= mostConnections && !evict()) {
+        if (clients.size() >= maxConnections && !evict()) {
             org.xnio.IoUtils.safeClose(connection);
             events.record(EventKind.CLIENT_CLOSED, "no room for one more");
             return;
         }
-        Viewers viewers = new Viewers(connection);
-        all.add(viewers);
-        viewers.duplex.start();
+        ClientConnection client = new ClientConnection(connection);
+        clients.add(client);
+        client.duplex.start();
     }
 
     /** Closes the oldest that never said a whole message, else an idle one, but none that has just said something. */
     private boolean evict() {
-        for (Viewers v : List.copyOf(all)) {
-            if (!v.heard && v.stillSo(o -> !o.heard)) {
-                v.end("room: said nothing whole");
+        for (ClientConnection client : List.copyOf(clients)) {
+            if (!client.heard && client.holdsAfterReading(o -> !o.heard)) {
+                client.end("room: said nothing whole");
                 return true;
             }
         }
-        for (Viewers v : List.copyOf(all)) {
-            if (v.idle() && v.stillSo(Viewers::idle)) {
-                v.end("room: idle");
+        for (ClientConnection client : List.copyOf(clients)) {
+            if (client.idle() && client.holdsAfterReading(ClientConnection::idle)) {
+                client.end("room: idle");
                 return true;
             }
         }
-        return all.size() < mostConnections;
+        return clients.size() < maxConnections;
     }
 
     /** Looks after connections that say nothing; called some times a second. */
     public void sweep() {
         long now = core.clock().now();
-        for (Viewers v : List.copyOf(all)) {
-            if (v.unheard(now) && v.stillSo(o -> o.unheard(now))) {
-                v.end("silent");
+        for (ClientConnection client : List.copyOf(clients)) {
+            if (client.unheard(now) && client.holdsAfterReading(o -> o.unheard(now))) {
+                client.end("silent");
             }
         }
-        owed.values().removeIf(o -> now - o.since > OWED);
-        used.values().removeIf(at -> now - at > USED);
+        pendingReleases.values().removeIf(o -> now - o.since > RELEASE_KEPT);
+        usedIds.values().removeIf(at -> now - at > USED_ID_KEPT);
     }
 
-    private void askFresh() {
-        List<Waiting> asked = List.copyOf(fresh.values());
-        fresh.clear();
-        asked.forEach(Waiting::ask);
+    private void askUnasked() {
+        List<PendingRequest> asked = List.copyOf(unasked.values());
+        unasked.clear();
+        asked.forEach(PendingRequest::ask);
     }
 
     private void use(long id) {
-        used.put(id, core.clock().now());
-        if (used.size() > MOST_USED) {
-            Iterator<Long> oldest = used.keySet().iterator();
+        usedIds.put(id, core.clock().now());
+        if (usedIds.size() > MAX_USED_IDS) {
+            Iterator<Long> oldest = usedIds.keySet().iterator();
             oldest.next();
             oldest.remove();
         }
@@ -178,108 +178,109 @@
 
     /** Whether all answers and ends have left for the sockets. */
     public boolean flushed() {
-        return all.stream().allMatch(v -> v.duplex.flushed()) && owed.values().stream().allMatch(o -> o.on != null);
+        return clients.stream().allMatch(client -> client.duplex.flushed())
+            && pendingReleases.values().stream().allMatch(release -> release.on != null);
     }
 
     /** How many connections are held. */
     public int connections() {
-        return all.size();
+        return clients.size();
     }
 
     /** Ends our side of all connections on which no request is open, once all that has come was taken. */
     public void closeIdle() {
-        List.copyOf(all).forEach(v -> v.duplex.readNow());
-        askFresh();
-        for (Viewers v : List.copyOf(all)) {
-            if (v.open.isEmpty() && !v.reader.within() && v.duplex.isOpen()) {
-                v.note(EventKind.CLIENT_CLOSED, "shutdown, no open request");
-                v.duplex.finish();
-                all.remove(v);
+        List.copyOf(clients).forEach(v -> v.duplex.readNow());
+        askUnasked();
+        for (ClientConnection client : List.copyOf(clients)) {
+            if (client.open.isEmpty() && !client.reader.within() && client.duplex.isOpen()) {
+                client.note(EventKind.CLIENT_CLOSED, "shutdown, no open request");
+                client.duplex.finish();
+                clients.remove(client);
             }
         }
     }
 
     /** Takes what has come on all connections, then closes them once what they are owed has left. */
     public void finish() {
-        List.copyOf(all).forEach(v -> v.duplex.readNow());
-        askFresh();
-        for (Viewers v : List.copyOf(all)) {
-            v.note(EventKind.CLIENT_CLOSED, "shutdown");
-            v.duplex.finish();
-            if (v.duplex.flushed()) {
-                all.remove(v);
+        List.copyOf(clients).forEach(v -> v.duplex.readNow());
+        askUnasked();
+        for (ClientConnection client : List.copyOf(clients)) {
+            client.note(EventKind.CLIENT_CLOSED, "shutdown");
+            client.duplex.finish();
+            if (client.duplex.flushed()) {
+                clients.remove(client);
             }
         }
     }
 
     /** Closes all connections at once. */
     public void close() {
-        List.copyOf(all).forEach(Viewers::close);
+        List.copyOf(clients).forEach(ClientConnection::close);
     }
 
     /**
      * An end goes out on its set-up's connection, else on another that usual viewers use, else as soon as one comes. It is
      * remembered, as what is written to a connection that breaks may never be read: to be told twice harms nobody.
      */
-    private void tellEnd(Viewers first, long id, byte[] message) {
+    private void sendRelease(ClientConnection first, long id, byte[] message) {
         long now = core.clock().now();
-        if (owed.size() >= MOST_OWED) {
-            Iterator<Owed> oldest = owed.values().iterator();
+        if (pendingReleases.size() >= MAX_PENDING_RELEASES) {
+            Iterator<PendingRelease> oldest = pendingReleases.values().iterator();
             oldest.next();
             oldest.remove();
         }
-        Owed end = new Owed(message, now);
-        owed.remove(id);
-        owed.put(id, end);
+        PendingRelease end = new PendingRelease(message, now);
+        pendingReleases.remove(id);
+        pendingReleases.put(id, end);
         if (first.duplex.isOpen()) {
             end.tell(first, now);
         } else {
-            tellElsewhere(end, now);
+            resendElsewhere(end, now);
         }
     }
 
-    private void tellElsewhere(Owed end, long now) {
+    private void resendElsewhere(PendingRelease end, long now) {
         end.on = null;
-        end.others = OTHERS;
+        end.others = OTHER_CONNECTIONS;
         // Where something stands or waits there are usual viewers; the last that came are likeliest to stay.
-        List<Viewers> usual = new ArrayList<>(all.stream().filter(v -> v.good && v.duplex.isOpen()).toList());
-        Collections.reverse(usual);
-        usual.sort(Comparator.comparing(Viewers::idle));
-        for (Viewers v : usual.subList(0, Math.min(OTHERS, usual.size()))) {
+        List<ClientConnection> good = new ArrayList<>(clients.stream().filter(v -> v.good && v.duplex.isOpen()).toList());
+        Collections.reverse(good);
+        good.sort(Comparator.comparing(ClientConnection::idle));
+        for (ClientConnection v : good.subList(0, Math.min(OTHER_CONNECTIONS, good.size()))) {
             end.others--;
             end.tell(v, now);
         }
     }
 
     /** What was written to a connection that broke goes out again, but for what was surely read. */
-    private void tellAgain(Viewers broken) {
+    private void resendUnread(ClientConnection broken) {
         long now = core.clock().now();
-        for (Owed end : List.copyOf(owed.values())) {
-            if (end.on == broken && (now - end.toldAt < UNREAD || broken.duplex.waits(end.message))) {
-                tellElsewhere(end, now);
+        for (PendingRelease end : List.copyOf(pendingReleases.values())) {
+            if (end.on == broken && (now - end.toldAt < UNREAD_WINDOW || broken.duplex.waits(end.message))) {
+                resendElsewhere(end, now);
             }
         }
     }
 
     /** A connection that usual viewers use has come: what waits for one goes out. */
-    private void tellWaiting(Viewers viewers) {
+    private void sendPendingReleases(ClientConnection client) {
         long now = core.clock().now();
-        for (Owed end : List.copyOf(owed.values())) {
-            if (viewers.duplex.isOpen() && end.others > 0 && end.on != viewers) {
+        for (PendingRelease end : List.copyOf(pendingReleases.values())) {
+            if (client.duplex.isOpen() && end.others > 0 && end.on != client) {
                 end.others--;
-                end.tell(viewers, now);
+                end.tell(client, now);
             }
         }
     }
 
     /** One connection and what is open on it. */
-    private final class Viewers implements Duplex.Taker {
+    private final class ClientConnection implements Duplex.Taker {
         private final long number = ++accepted;
         private final Duplex duplex;
         private final Signal.Reader reader = new Signal.Reader();
-        private final Set<Waiting> open = new HashSet<>();
+        private final Set<PendingRequest> open = new HashSet<>();
         /** Answered here, and playing. */
-        private final Set<Waiting> standing = new HashSet<>();
+        private final Set<PendingRequest> standing = new HashSet<>();
         private final long since = core.clock().now();
         /** When the first byte of the message came that is not whole yet. */
         private long partialSince = since;
@@ -289,8 +290,8 @@
         /** Something came that viewers or the test say. */
         private boolean good;
 
-        private Viewers(StreamConnection connection) {
-            duplex = new Duplex(connection, buffer, MOST_QUEUED, this);
+        private ClientConnection(StreamConnection connection) {
+            duplex = new Duplex(connection, buffer, MAX_QUEUED_BYTES, this);
             note(EventKind.CLIENT_CONNECTED, null);
         }
 
@@ -312,25 +313,25 @@
                 return false;
             }
             if (reader.within()) {
-                return now - (good ? partialSince : since) > PARTIAL;
+                return now - (good ? partialSince : since) > PARTIAL_MESSAGE_LIMIT;
             }
-            return !good && now - since > UNHEARD || idle() && now - usedAt > IDLE;
+            return !good && now - since > SILENCE_LIMIT || idle() && now - usedAt > IDLE_LIMIT;
         }
 
         /** Whether that holds after what has come by now is read: on a late loop a set-up may wait unread for long. */
-        private boolean stillSo(Predicate<Viewers> what) {
+        private boolean holdsAfterReading(Predicate<ClientConnection> what) {
             duplex.readNow();
-            return all.contains(this) && what.test(this);
+            return clients.contains(this) && what.test(this);
         }
 
         private void end(String why) {
             note(EventKind.CLIENT_CLOSED, why);
-            gone(true);
+            abandon(true);
             close();
         }
 
         private void close() {
-            all.remove(this);
+            clients.remove(this);
             duplex.close();
         }
 
@@ -339,21 +340,22 @@
          *
          * @param broken whether what waits to be written is lost
          */
-        private void gone(boolean broken) {
-            all.remove(this);
-            for (Waiting w : List.copyOf(open)) {
+        private void abandon(boolean broken) {
+            clients.remove(this);
+            for (PendingRequest w : List.copyOf(open)) {
                 w.hungUp();
             }
             if (broken) {
-                standing.stream().filter(w -> w.said != null && duplex.waits(w.said)).toList().forEach(w -> core.end(w.session));
-                tellAgain(this);
+                standing.stream().filter(request -> request.answerBytes != null && duplex.waits(request.answerBytes)).toList()
+                    .forEach(request -> core.end(request.session));
+                resendUnread(this);
             }
         }
 
         @Override
         public void closed() {
             note(EventKind.CLIENT_CLOSED, "by the client, or broken");
-            gone(true);
+            abandon(true);
         }
 
         @Override
@@ -373,7 +375,7 @@
                 }
             } catch (Signal.Unreadable e) {
                 note(EventKind.CLIENT_CLOSED, e.getMessage());
-                gone(false);
+                abandon(false);
                 duplex.finish();
             }
         }
@@ -382,9 +384,9 @@
             switch (signal.type()) {
                 case Signal.SET_UP -> setUp(signal);
                 case Signal.RELEASE -> release(signal);
-                case Signal.RELEASE_HEARD -> owed.remove(signal.session());
+                case Signal.RELEASE_HEARD -> pendingReleases.remove(signal.session());
                 case Signal.TEST -> {
-                    usual();
+                    markGood();
                     duplex.write(Signal.message(Signal.TESTED, signal.session(), ready && core.healthy() ? 1 : 0));
                 }
                 case Signal.PROGRESS, Signal.ANSWER, Signal.NOTE, Signal.MOVE, Signal.TESTED, Signal.RUNG -> { }
@@ -392,10 +394,10 @@
             }
         }
 
-        private void usual() {
+        private void markGood() {
             if (!good) {
                 good = true;
-                tellWaiting(this);
+                sendPendingReleases(this);
             }
         }
 
@@ -409,56 +411,56 @@
                 return;
             }
             Session there = core.session(signal.id());
-            Waiting twin = fresh.get(signal.session());
+            PendingRequest twin = unasked.get(signal.session());
             if (wish.at() != null) {
                 handOver(wish, signal, there);
-            } else if (twin != null && twin.viewers != this) {
+            } else if (twin != null && twin.client != this) {
                 // One of them is no viewer, and which came first can't be told: neither is served by the other's word.
                 note(EventKind.REQUEST_REFUSED, signal.session(), "same id on two connections");
                 twin.rejected(0);
                 duplex.write(Signal.message(Signal.RELEASE, signal.session(), NO_ROOM));
-            } else if (there != null || twin != null || used.containsKey(signal.session())) {
+            } else if (there != null || twin != null || usedIds.containsKey(signal.session())) {
                 // An id is used once: who uses another's, or its own again, is no viewer.
                 throw new Signal.Unreadable("an id that was used");
-            } else if (open.size() >= MOST_OPEN) {
+            } else if (open.size() >= MAX_OPEN_REQUESTS) {
                 note(EventKind.REQUEST_REFUSED, signal.session(), "too many open on the connection");
                 duplex.write(Signal.message(Signal.RELEASE, signal.session(), NO_ROOM));
             } else {
-                usual();
+                markGood();
                 note(EventKind.REQUEST_RECEIVED, signal.session(), null);
-                Waiting waiting = new Waiting(this, signal.session(), wish.ask());
-                open.add(waiting);
+                PendingRequest request = new PendingRequest(this, signal.session(), wish.ask());
+                open.add(request);
                 use(signal.session());
-                if (fresh.isEmpty()) {
-                    turn.execute(SignalFront.this::askFresh);
+                if (unasked.isEmpty()) {
+                    turn.execute(SignalFront.this::askUnasked);
                 }
-                fresh.put(signal.session(), waiting);
+                unasked.put(signal.session(), request);
             }
         }
 
         private void handOver(Wish wish, Signal signal, Session there) {
-            usual();
+            markGood();
             if (there != null) {
                 return;
             }
-            Waiting waiting = new Waiting(this, signal.session(), wish.ask());
-            waiting.answered = true;
-            standing.add(waiting);
-            waiting.session = core.handOver(wish.ask(), hosts.applyAsLong(wish.at()), waiting);
-            if (waiting.session == null) {
-                standing.remove(waiting);
+            PendingRequest request = new PendingRequest(this, signal.session(), wish.ask());
+            request.answered = true;
+            standing.add(request);
+            request.session = core.handOver(wish.ask(), hosts.applyAsLong(wish.at()), request);
+            if (request.session == null) {
+                standing.remove(request);
                 duplex.write(Signal.message(Signal.RELEASE, signal.session(), FAILURE));
             }
         }
 
         private void release(Signal signal) {
             Session session = core.session(signal.id());
-            Waiting asked = fresh.get(signal.session());
+            PendingRequest asked = unasked.get(signal.session());
             if (asked != null) {
                 asked.hungUp();
             } else if (session != null && session.state() == Session.State.PLAYING) {
                 core.end(session);
-            } else if (session != null && session.watching() instanceof Waiting w) {
+            } else if (session != null && session.watching() instanceof PendingRequest w) {
                 w.hungUp();
             }
             duplex.write(Signal.message(Signal.RELEASE_HEARD, signal.session(), 0, null));
@@ -466,17 +468,17 @@
     }
 
     /** One request, from its set-up to the end of what it led to. */
-    private final class Waiting implements Answer {
-        private final Viewers viewers;
+    private final class PendingRequest implements Answer {
+        private final ClientConnection client;
         private final long id;
         private Ask ask;
         private Session session;
         private boolean answered;
         /** The answer that it plays, as written. */
-        private byte[] said;
+        private byte[] answerBytes;
 
-        private Waiting(Viewers viewers, long id, Ask ask) {
-            this.viewers = viewers;
+        private PendingRequest(ClientConnection client, long id, Ask ask) {
+            this.client = client;
             this.id = id;
             this.ask = ask;
         }
@@ -495,17 +497,17 @@
         private void answer(byte[] message) {
             if (!answered) {
                 answered = true;
-                viewers.open.remove(this);
-                viewers.duplex.write(message);
-                viewers.note(EventKind.REQUEST_ANSWERED, id, session == null ? null : session.state());
+                client.open.remove(this);
+                client.duplex.write(message);
+                client.note(EventKind.REQUEST_ANSWERED, id, session == null ? null : session.state());
             }
         }
 
         private void hungUp() {
             if (!answered) {
                 answered = true;
-                viewers.open.remove(this);
-                viewers.note(EventKind.REQUEST_CANCELLED, id, null);
+                client.open.remove(this);
+                client.note(EventKind.REQUEST_CANCELLED, id, null);
                 if (session != null) {
                     core.hungUp(session, this);
                 }
@@ -517,9 +519,9 @@
             byte[] description = plays.description() == null ? new byte[0] : plays.description();
             if (!answered) {
                 session = plays;
-                said = Signal.message(Signal.ANSWER, id, Signal.DESCRIPTION, description);
-                viewers.standing.add(this);
-                answer(said);
+                answerBytes = Signal.message(Signal.ANSWER, id, Signal.DESCRIPTION, description);
+                client.standing.add(this);
+                answer(answerBytes);
             }
         }
 
@@ -535,14 +537,14 @@
 
         @Override
         public void ended(Session ended) {
-            viewers.standing.remove(this);
-            viewers.usedAt = core.clock().now();
-            viewers.note(EventKind.SESSION_ENDED, id, ended.end());
+            client.standing.remove(this);
+            client.usedAt = core.clock().now();
+            client.note(EventKind.SESSION_ENDED, id, ended.end());
             if (ended.end() == Session.End.LEFT) {
                 return; // By its viewer's word, heard here or at the media host: it knows.
             }
-            tellEnd(viewers, id, ended.end() == Session.End.MOVED ? Signal.message(Signal.MOVE, id, 0, null)
-                : Signal.message(Signal.RELEASE, id, ended.end() == Session.End.HOST_LOST ? FAILURE : USUAL));
+            sendRelease(client, id, ended.end() == Session.End.MOVED ? Signal.message(Signal.MOVE, id, 0, null)
+                : Signal.message(Signal.RELEASE, id, ended.end() == Session.End.HOST_LOST ? FAILURE : NORMAL_CLEARING));
         }
     }
 }
