--- a/src/main/java/cypressvalve/soak/ClientEmulator.java
+++ b/src/main/java/cypressvalve/soak/ClientEmulator.java
@@ -79,7 +79,7 @@
         parameter(parameters, TITLE, request.title());
         parameter(parameters, HINT, "8000.0");
         parameter(parameters, FIGURES, "home:0;copies:" + request.copies() + ";top:4;viewer:" + id(request.id()));
-        parameter(parameters, DESCRIPTION, "v=0 " + id(request.id()));
+        parameter(parameters, DESCRIPTION, "v=0 " + id(request.id()) + "\r\n");
         write(SET_UP, request.id(), parameters.toByteArray());
         record.add(Event.Kind.REQUEST_SENT, name, id(request.id()), String.valueOf(request.patienceMillis()));
     }
--- a/src/main/java/cypressvalve/soak/MediaHostEmulator.java
+++ b/src/main/java/cypressvalve/soak/MediaHostEmulator.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 
 /**
  * A media host of the platform on loopback: takes set-ups over RTSP and records when each attempt begins and ends there.
@@ -18,6 +19,7 @@
  */
 public final class MediaHostEmulator implements AutoCloseable {
     private static final int BACKLOG = 200;
+    private static final int SPOILT_FORMS = 6;
     private static final byte[] EMPTY = {};
 
     private final String name;
@@ -26,7 +28,8 @@
     private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
     /** Set-ups that were taken and not ended, with the connection that each came on. */
     private final Map<String, Socket> open = new ConcurrentHashMap<>();
-    private volatile boolean answersSetUps = true;
+    private volatile AnswerMode mode = AnswerMode.NORMAL;
+    private volatile long answerDelayMillis;
     private volatile long readDelayMillis;
 
     /** @param name the instance id that the list gives it */
@@ -54,7 +57,17 @@
 
     /** Whether set-ups are answered; where not, they are taken and nothing is said. */
     public void answersSetUps(boolean on) {
-        answersSetUps = on;
+        mode = on ? AnswerMode.NORMAL : AnswerMode.SILENT;
+    }
+
+    /**
+     * How set-ups are answered from now on.
+     *
+     * @param delayMillis how late, where they are answered late
+     */
+    public void answers(AnswerMode how, long delayMillis) {
+        answerDelayMillis = delayMillis;
+        mode = how;
     }
 
     /** How long what has come lies unread before it is taken, in milliseconds. */
@@ -107,13 +120,60 @@
 
     private void setUp(String session, long arrivedAt, Socket connection) throws IOException {
         record.add(arrivedAt, Event.Kind.ATTEMPT_BEGUN, name, session, "");
-        if (answersSetUps) {
-            record.add(Event.Kind.ATTEMPT_SERVED, name, session, "");
-            record.add(Event.Kind.ATTEMPT_ENDED, name, session, "served");
-            write(connection, RtspMessage.response(200, "1", session, "",
-                ("v=0 " + name + " " + session).getBytes(StandardCharsets.ISO_8859_1)));
-        } else {
-            open.put(session, connection);
+        open.put(session, connection);
+        switch (mode) {
+            case NORMAL -> serve(session, connection, 1);
+            case TWICE -> serve(session, connection, 2);
+            case LATE -> start(() -> serveLate(session, connection));
+            case SPOILT -> spoil(session, connection);
+            case SILENT -> { }
+        }
+    }
+
+    private String description(String session) {
+        return "v=0 " + name + " " + session + "\r\n";
+    }
+
+    private void serve(String session, Socket connection, int copies) throws IOException {
+        if (!open.remove(session, connection)) {
+            return;
+        }
+        record.add(Event.Kind.ATTEMPT_SERVED, name, session, description(session));
+        record.add(Event.Kind.ATTEMPT_ENDED, name, session, "served");
+        byte[] answer = RtspMessage.response(200, "1", session, "", description(session).getBytes(StandardCharsets.ISO_8859_1));
+        for (int i = 0; i < copies; i++) {
+            write(connection, answer);
+        }
+    }
+
+    private void serveLate(String session, Socket connection) {
+        try {
+            TimeUnit.MILLISECONDS.sleep(answerDelayMillis);
+            serve(session, connection, 1);
+        } catch (IOException e) {
+            return; // The connection has ended, and the attempt with it.
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void spoil(String session, Socket connection) throws IOException {
+        ended(session, "spoilt");
+        String good = new String(RtspMessage.response(200, "1", session, "", description(session)
+            .getBytes(StandardCharsets.ISO_8859_1)), StandardCharsets.ISO_8859_1);
+        int length = description(session).length();
+        String lengthField = "Content-Length: " + length;
+        String spoilt = switch (Math.floorMod(session.hashCode(), SPOILT_FORMS)) {
+            case 0 -> "\u0001\u0002noise\r\n";
+            case 1 -> good.replace(lengthField, "Content-Length: " + (length - 1));
+            case 2 -> good.replace(lengthField, "Content-Length: " + length / 2);
+            case 3 -> good.replace(lengthField, "Content-Length: " + (length + good.length())) + good;
+            case 4 -> good.replace(lengthField, "Content-Length: 3000000000");
+            default -> good.substring(0, good.length() - length / 2);
+        };
+        write(connection, spoilt.getBytes(StandardCharsets.ISO_8859_1));
+        if (spoilt.length() < good.length()) {
+            connection.close();
         }
     }
 
--- a/src/main/java/cypressvalve/soak/RecordChecker.java
+++ b/src/main/java/cypressvalve/soak/RecordChecker.java
@@ -84,7 +84,9 @@
             add(Rule.LOST, request, "answered after its time", story);
         }
         boolean served = answers.stream().anyMatch(e -> e.kind() == Event.Kind.ANSWER_SERVED);
-        if (served && first(story, Event.Kind.ATTEMPT_SERVED) == null) {
+        Set<String> made = story.stream().filter(e -> e.kind() == Event.Kind.ATTEMPT_SERVED).map(Event::detail)
+            .collect(Collectors.toSet());
+        if (served && answers.stream().noneMatch(e -> made.contains(e.detail()))) {
             add(Rule.LOST, request, "served what no media host made", story);
         }
     }
--- a/src/main/java/cypressvalve/soak/SoakTrial.java
+++ b/src/main/java/cypressvalve/soak/SoakTrial.java
@@ -16,6 +16,8 @@
     private static final long DOWN_TOLD_MICROS = 6_000_000;
     private static final long SILENT_TOLD_MICROS = 4_000_000;
     private static final long MICROS_PER_MILLI = 1_000;
+    /** A host that answers late does so by this part of the time for which it does. */
+    private static final int LATE_SHARE = 8;
     private static final int SERIES_MILLIS = 150;
     private static final int RELOADS = 4;
     private static final int RELOAD_GAP_MILLIS = 30;
@@ -97,10 +99,10 @@
 
     private void strike(TrialPlan.Fault fault) throws IOException, InterruptedException {
         switch (fault.kind()) {
-            case HOST_HANGS -> {
-                host(fault).answersSetUps(false);
-                later(fault.lengthMillis(), () -> host(fault).answersSetUps(true));
-            }
+            case HOST_HANGS -> answer(fault, AnswerMode.SILENT);
+            case HOST_ANSWERS_LATE -> answer(fault, AnswerMode.LATE);
+            case HOST_ANSWERS_TWICE -> answer(fault, AnswerMode.TWICE);
+            case HOST_SPOILS_ANSWERS -> answer(fault, AnswerMode.SPOILT);
             case HOST_READS_LATE -> host(fault).readDelay(fault.lengthMillis());
             case HOST_REFUSES -> host(fault).refuseOpen(500);
             case HOST_RESETS -> host(fault).resetConnections();
@@ -133,6 +135,11 @@
         return hosts.get(fault.target());
     }
 
+    private void answer(TrialPlan.Fault fault, AnswerMode how) {
+        host(fault).answers(how, fault.lengthMillis() / LATE_SHARE);
+        later(fault.lengthMillis(), () -> host(fault).answers(AnswerMode.NORMAL, 0));
+    }
+
     private void drain(TrialPlan.Fault fault) {
         coordinator.publish(host(fault), fault.target(), "DRAINING");
         record.add(Math.max(record.now(), toldAtLatest), Event.Kind.DRAIN_TOLD, host(fault).name(), "", "");
--- a/src/main/java/cypressvalve/soak/TrialPlan.java
+++ b/src/main/java/cypressvalve/soak/TrialPlan.java
@@ -32,6 +32,12 @@
         HOST_HANGS,
         /** A media host reads what has come only after a while. */
         HOST_READS_LATE,
+        /** A media host answers set-ups late. */
+        HOST_ANSWERS_LATE,
+        /** A media host answers each set-up twice. */
+        HOST_ANSWERS_TWICE,
+        /** A media host's answers are spoilt. */
+        HOST_SPOILS_ANSWERS,
         /** A media host refuses all that is open there. */
         HOST_REFUSES,
         /** A media host's connections are reset. */
