--- a/src/main/java/cypressvalve/soak/EventRecord.java
+++ b/src/main/java/cypressvalve/soak/EventRecord.java
@@ -23,7 +23,8 @@
 
     /** Adds what happened at that time, in microseconds of {@link #now}. */
     public synchronized void add(long atMicros, Event.Kind kind, String party, String request, String detail) {
-        events.add(new Event(atMicros, kind, party, request, detail));
+        String oneLine = detail.replace("\r", "\\r").replace("\n", "\\n");
+        events.add(new Event(atMicros, kind, party, request, oneLine));
         notifyAll();
     }
 
--- a/src/main/java/cypressvalve/soak/SoakTrial.java
+++ b/src/main/java/cypressvalve/soak/SoakTrial.java
@@ -18,6 +18,8 @@
     private static final long MICROS_PER_MILLI = 1_000;
     /** A host that answers late does so by this part of the time for which it does. */
     private static final int LATE_SHARE = 8;
+    /** A host that hangs reads late, too, by less than the time in which a gateway counts on a cancel to be read. */
+    private static final int HANGING_READ_DELAY_MILLIS = 90;
     private static final int SERIES_MILLIS = 150;
     private static final int RELOADS = 4;
     private static final int RELOAD_GAP_MILLIS = 30;
@@ -99,7 +101,11 @@
 
     private void strike(TrialPlan.Fault fault) throws IOException, InterruptedException {
         switch (fault.kind()) {
-            case HOST_HANGS -> answer(fault, AnswerMode.SILENT);
+            case HOST_HANGS -> {
+                answer(fault, AnswerMode.SILENT);
+                host(fault).readDelay(HANGING_READ_DELAY_MILLIS);
+                later(fault.lengthMillis(), () -> host(fault).readDelay(0));
+            }
             case HOST_ANSWERS_LATE -> answer(fault, AnswerMode.LATE);
             case HOST_ANSWERS_TWICE -> answer(fault, AnswerMode.TWICE);
             case HOST_SPOILS_ANSWERS -> answer(fault, AnswerMode.SPOILT);
