--- a/src/test/java/cypressvalve/host/rtsp/RtspHostClientTest.java
+++ b/src/test/java/cypressvalve/host/rtsp/RtspHostClientTest.java
@@ -230,10 +230,7 @@
         HostClient.Call[] call = new HostClient.Call[1];
         onLoop(() -> call[0] = setUp("00000000000000aa"));
         try (Socket first = server.accept()) {
-            BufferedReader in = reader(first);
-            message(in);
-            onLoop(() -> call[0].withdraw());
-            assertTrue(message(in).startsWith("TEARDOWN"));
+            BufferedReader in = cancelledOn(first, call);
             first.setSoLinger(true, 0);
         }
         assertEquals("back 00000000000000aa WITHDRAWN", told.take());
@@ -246,6 +243,15 @@
         }
     }
 
+    /** The host reads the set-up and its cancel; what follows on the connection. */
+    private BufferedReader cancelledOn(Socket line, HostClient.Call[] call) throws Exception {
+        BufferedReader in = reader(line);
+        message(in);
+        onLoop(() -> call[0].withdraw());
+        assertTrue(message(in).startsWith("TEARDOWN"));
+        return in;
+    }
+
     @Test
     void aCancelledAttemptIsNotReportedOverBeforeItsHostHadTheTimeToReadThat() throws Exception {
         HostClient.Call[] call = new HostClient.Call[1];
@@ -281,10 +287,7 @@
         HostClient.Call[] call = new HostClient.Call[1];
         onLoop(() -> call[0] = setUp("00000000000000aa"));
         try (Socket line = server.accept()) {
-            BufferedReader in = reader(line);
-            message(in);
-            onLoop(() -> call[0].withdraw());
-            assertTrue(message(in).startsWith("TEARDOWN"));
+            BufferedReader in = cancelledOn(line, call);
             assertEquals("back 00000000000000aa WITHDRAWN", told.take());
             onLoop(() -> setUp("00000000000000aa"));
             assertTrue(message(in).startsWith("SETUP"));
@@ -299,10 +302,7 @@
         HostClient.Call[] call = new HostClient.Call[1];
         onLoop(() -> call[0] = setUp("00000000000000aa"));
         try (Socket line = server.accept()) {
-            BufferedReader in = reader(line);
-            message(in);
-            onLoop(() -> call[0].withdraw());
-            assertTrue(message(in).startsWith("TEARDOWN"));
+            BufferedReader in = cancelledOn(line, call);
             assertEquals("back 00000000000000aa WITHDRAWN", told.take());
             onLoop(() -> setUp("00000000000000aa"));
             assertTrue(message(in).startsWith("SETUP"));
@@ -318,10 +318,7 @@
         HostClient.Call[] call = new HostClient.Call[1];
         onLoop(() -> call[0] = setUp("00000000000000aa"));
         try (Socket first = server.accept()) {
-            BufferedReader in = reader(first);
-            message(in);
-            onLoop(() -> call[0].withdraw());
-            assertTrue(message(in).startsWith("TEARDOWN"));
+            BufferedReader in = cancelledOn(first, call);
             say(first, "RTSP/1.0 500 No\r\nCSeq: 1\r\nSession: 00000000000000aa", "");
             assertEquals("back 00000000000000aa WITHDRAWN", told.take());
             onLoop(() -> setUp("00000000000000aa"));
