Before the kill connections are closed within a message, too, and sooner than a loop stands still

Closing within a message loses nothing, as no process took it. The close is 0.3 s before the kill now (0.2 s), over the 0.25 s that a process stands still in the trials, and the last answers 0.35 s (0.3 s) before.

--- a/src/main/java/cypressvalve/front/signal/SignalFront.java
+++ b/src/main/java/cypressvalve/front/signal/SignalFront.java
@@ -187,12 +187,15 @@
         return clients.size();
     }
 
-    /** Ends our side of all connections on which no request is open, once all that has come was taken. */
+    /**
+     * Closes all connections on which no request is open, once all that has come was taken: also within a message, as no
+     * process has taken a request whose last byte has not come.
+     */
     public void closeIdle() {
         List.copyOf(clients).forEach(v -> v.duplex.readNow());
         askUnasked();
         for (ClientConnection client : List.copyOf(clients)) {
-            if (client.open.isEmpty() && !client.reader.within() && client.duplex.isOpen()) {
+            if (client.open.isEmpty() && client.duplex.isOpen()) {
                 client.note(EventKind.CLIENT_CLOSED, "shutdown, no open request");
                 client.duplex.finish();
                 clients.remove(client);
--- a/src/main/java/cypressvalve/run/ShutdownSchedule.java
+++ b/src/main/java/cypressvalve/run/ShutdownSchedule.java
@@ -20,9 +20,9 @@
     /** New connections come for 0.4 s and requests on new ones for 0.2 s more; the rest is slack. */
     private static final long STILL_SENDS = 750 * MILLI;
     /** An answer needs so long before the kill to be read: a loop that stands still is late by as much. */
-    private static final long ANSWER_MARGIN = 300 * MILLI;
-    /** Between the close and the kill: a loop that stands still is late by as much. */
-    private static final long CLOSE_MARGIN = 200 * MILLI;
+    private static final long ANSWER_MARGIN = 350 * MILLI;
+    /** Between the close and the kill: a loop that stands still for a few periods of its quota is late by as much. */
+    private static final long CLOSE_MARGIN = 300 * MILLI;
     /** Where the kill does not come, clients that hold a connection may still send for so long. */
     private static final long AFTER_KILL = 2_000 * MILLI;
 
--- a/src/test/java/cypressvalve/soak/SoakTest.java
+++ b/src/test/java/cypressvalve/soak/SoakTest.java
@@ -16,7 +16,7 @@
     private Path dir;
 
     @ParameterizedTest
-    @ValueSource(longs = {4, 9, 11, 12, 13})
+    @ValueSource(longs = {4, 9, 11, 12, 13, 31})
     void aSeededTrialKeepsTheRulesAndServes(long seed) throws Exception {
         SoakTrial.Outcome outcome = SoakTrial.run(TrialPlan.draw(seed), dir);
         assertEquals("", String.join("\n", outcome.violations()));
