--- a/review/standin/Viewer.java
+++ b/review/standin/Viewer.java
@@ -16,6 +16,7 @@
         final Map<Long, String> answers = new ConcurrentHashMap<>();
         final Map<Long, Double> released = new ConcurrentHashMap<>();
         final Map<Long, Double> sent = new ConcurrentHashMap<>();
+        final Map<Long, String> descriptions = new ConcurrentHashMap<>();
     }
 
     static final int SET_UP = 1;
@@ -179,6 +180,7 @@
         } else if (type == ANSWER) {
             rig.note(name, "answer " + Rig.hex(session) + ": the session stands");
             book.answered.putIfAbsent(session, Rig.ms());
+            book.descriptions.put(session, new String(parameters.getOrDefault(174, new byte[0]), StandardCharsets.ISO_8859_1));
             book.answers.merge(session, "served", (a, b) -> a + "," + b);
         } else if (type == RELEASE || type == MOVE) {
             boolean answer = book.sent.containsKey(session) && !book.answered.containsKey(session);
