Connections to a silent media host that carries sessions are read, not closed

Cause: connections that showed no life in two connect time-outs were ended, and closed after 1 s. They wait in the host's listen queue before the one that is still held, and the host says on them, once it goes on, what ended. Change: as long as such a host has said nothing since a connection was up and heard last, that is neither ended nor closed. Set-ups open two of them at most and wait on the last.

--- a/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
+++ b/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
@@ -73,6 +73,9 @@
     /** A connection whose host has not answered its first attempt is taken after all others. */
     private static final int AWAITS_LIFE_LOAD = 1_000;
     private static final long NOT_TESTED = Long.MAX_VALUE;
+    private static final long NEVER = Long.MIN_VALUE / 2;
+    /** To a host whose system takes connections and whose process shows nothing, set-ups open no more than these. */
+    private static final int MAX_SILENT_CONNECTIONS = 2;
     /** A connection closed to make room, where something plays, is opened again after this: ends must be heard in time. */
     private static final long REOPEN_AFTER = 3_000_000_000L;
 
@@ -168,6 +171,7 @@
         HostConnection least = pools.values().stream().flatMap(p -> p.connections.stream())
             .filter(connection -> connection.up && connection.unused() && !connection.ending && connection.duplex.flushed())
             .min(Comparator.comparing((HostConnection connection) -> connection.pool.followed)
+                .thenComparing(HostConnection::mayHoldUnsaidEnds)
                 .thenComparingLong(connection -> connection.usedAt)).orElse(null);
         if (least != null) {
             least.end("room for another host");
@@ -571,8 +575,10 @@
         /** When a connection of it was closed to make room for another host's. */
         private long closedAt = Long.MIN_VALUE / 2;
         private Lifeline lifeline = new Lifeline(System.nanoTime(), limits.connectTimeout());
+        /** When something came from the host last, on any connection. */
+        private long heardAt = NEVER;
         /** When a connection that was up ended last. */
-        private long endedAt = Long.MIN_VALUE / 2;
+        private long endedAt = NEVER;
         /** No connection has come up since one ended on which the host may have said something that was not read. */
         private boolean repeatAwaited;
         /** How often a connection was tried for what waits alone. */
@@ -599,10 +605,21 @@
                     best = connection;
                 }
             }
+            if (best == null) {
+                best = silentConnection();
+            }
             boolean more = best == null || best.load() > 0 && usedConnections() < limits.mostIdle();
             return more && makeRoom() ? new HostConnection(this) : best;
         }
 
+        /** The last of those that wait for the host's process, once there are enough: one more would only wait behind them. */
+        private HostConnection silentConnection() {
+            List<HostConnection> silent = connections.stream()
+                .filter(connection -> connection.up && !connection.alive && connection.mayHoldUnsaidEnds()).toList();
+            HostConnection last = silent.size() < MAX_SILENT_CONNECTIONS ? null : silent.get(silent.size() - 1);
+            return last != null && !last.retired && !last.over && last.attempts.size() < streams ? last : null;
+        }
+
         private HostConnection open() {
             for (HostConnection connection : connections) {
                 if (connection.up && !connection.retired) {
@@ -672,7 +689,7 @@
         }
 
         private long usedConnections() {
-            return connections.stream().filter(connection -> !connection.ending).count();
+            return connections.stream().filter(connection -> !connection.retired).count();
         }
 
         private void checkLiveness() {
@@ -726,6 +743,9 @@
                 connection.unreadCancels.keySet().retainAll(connection.cancelledAt.keySet());
                 connection.refusedAt.values().removeIf(at -> now - at > LATE_ANSWER_WINDOW);
                 connection.ambiguous.values().removeIf(at -> now - at > LATE_ANSWER_WINDOW);
+                if (connection.mayHoldUnsaidEnds()) {
+                    continue;
+                }
                 connection.retired |= connection.up && !connection.mayComeAlive(2 * limits.connectTimeout());
                 boolean spare = connection.retired ? now - connection.usedAt > RETIRED_GRACE : !followed && now - connection.usedAt > idle * IDLE_SHARE;
                 if (connection.up && connection.unused() && spare) {
@@ -799,7 +819,8 @@
         private long endingAt;
         private final long begunAt = System.nanoTime();
         private long usedAt = begunAt;
-        private long heardAt = Long.MIN_VALUE / 2;
+        private long upAt = NEVER;
+        private long heardAt = NEVER;
 
         private HostConnection(ConnectionPool pool) {
             this.pool = pool;
@@ -824,6 +845,7 @@
                 return;
             }
             up = true;
+            upAt = System.nanoTime();
             note(EventKind.HOST_CONNECTED, null);
             duplex = new Duplex(channel, buffer, MAX_QUEUED_BYTES, this);
             duplex.start();
@@ -898,6 +920,14 @@
             return alive || up && lifeTestedAt == NOT_TESTED || now - (up ? lifeTestedAt : begunAt) < nanos;
         }
 
+        /**
+         * Whether the host, which carries sessions, has said nothing on any connection since this one was up and heard last. Its process
+         * may stand still and say on this one, once it goes on, what ended meanwhile: it does not know what this side gave up.
+         */
+        private boolean mayHoldUnsaidEnds() {
+            return up && !over && pool.followed && !pool.gone && pool.heardAt <= Math.max(upAt, heardAt);
+        }
+
         private int load() {
             return attempts.size() + probes.size() + (awaitsLife() ? AWAITS_LIFE_LOAD : 0);
         }
@@ -1060,7 +1090,7 @@
                 duplex.endWrites();
                 endingConnections.add(this);
                 if (endingConnections.size() > MAX_ENDING) {
-                    endingConnections.iterator().next().closeUnended();
+                    endingConnections.stream().min(Comparator.comparing(HostConnection::mayHoldUnsaidEnds)).orElseThrow().closeUnended();
                 }
             }
         }
@@ -1155,6 +1185,7 @@
                 return;
             }
             heardAt = usedAt = System.nanoTime();
+            pool.heardAt = heardAt;
             pool.lifeline.heard(heardAt);
             if (!alive) {
                 alive();
