A media host for which there was no room for a connection is tried again

Cause: Lifeline marked a try as begun when it asked for a connection; where makeRoom() found none to close, none was begun and the mark stayed. A connection that was given up before it came up left the mark, too. Change: whether a connection is being opened is derived from the pool, the time of the last try is set where one begins; hosts without a connection for the longest come first; a connection to listen on replaces only one whose host has spoken or had 0.25 s for it. Tests of Lifeline tell it of connections that begin, and are as strict.

--- a/src/main/java/cypressvalve/host/rtsp/Lifeline.java
+++ b/src/main/java/cypressvalve/host/rtsp/Lifeline.java
@@ -34,7 +34,6 @@
     private long testedAt = Long.MIN_VALUE / 2;
     private long triedAt = Long.MIN_VALUE / 2;
     private long provedAt = Long.MIN_VALUE / 2;
-    private boolean trying;
     private int failed;
     private long failedAt = Long.MIN_VALUE / 2;
 
@@ -51,24 +50,32 @@
         failed = 0;
     }
 
+    /** A connection is being opened from now on. */
+    void began(long now) {
+        triedAt = now;
+    }
+
     /** A connection came up. */
     void connected(long now) {
-        trying = false;
         failed = 0;
         provedAt = now;
     }
 
     /** A connection was refused, or did not come up in time. */
     void unreached(long now) {
-        trying = false;
         if (now - failedAt >= AGAIN) {
             failedAt = now;
             failed++; // Several that fail together prove no more than one.
         }
     }
 
-    /** @param open whether a connection to the host is open now */
-    Step step(long now, boolean open) {
+    /**
+     * What is to be done now. CONNECT is said again until a connection is being opened: there may be no room for it yet.
+     *
+     * @param open whether a connection to the host is open now
+     * @param connecting whether one is being opened
+     */
+    Step step(long now, boolean open, boolean connecting) {
         boolean unanswered = testedAt >= heardAt && now - testedAt >= UNANSWERED;
         if (failed >= FAILED_TRIES && (!open || unanswered)) {
             return Step.LOST;
@@ -81,9 +88,9 @@
             testedAt = now; // New connections do not come up; the open one tells whether the host lives.
             return Step.TEST;
         }
-        boolean due = !trying && now - triedAt >= AGAIN;
+        Step connect = !connecting && now - triedAt >= AGAIN ? Step.CONNECT : Step.NOTHING;
         if (!open || failed > 0) {
-            return due ? tried(now) : Step.NOTHING;
+            return connect;
         }
         if (quiet < silent) {
             return Step.NOTHING;
@@ -92,12 +99,6 @@
             testedAt = now;
             return Step.TEST;
         }
-        return due && now - testedAt >= UNANSWERED ? tried(now) : Step.NOTHING;
-    }
-
-    private Step tried(long now) {
-        trying = true;
-        triedAt = now;
-        return Step.CONNECT;
+        return now - testedAt >= UNANSWERED ? connect : Step.NOTHING;
     }
 }
--- a/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
+++ b/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
@@ -78,6 +78,8 @@
     private static final int MAX_SILENT_CONNECTIONS = 2;
     /** A connection closed to make room, where something plays, is opened again after this: ends must be heard in time. */
     private static final long REOPEN_AFTER = 3_000_000_000L;
+    /** Where something plays, a connection that came up is kept for so long: its host says on it what ended without one. */
+    private static final long LISTENED_AT_LEAST = 250_000_000L;
 
     private final XnioIoThread thread;
     private final HostLimits limits;
@@ -149,7 +151,7 @@
         sweptAt = now;
         List.copyOf(unproven).stream().filter(attempt -> !guard.isOpen(attempt.order.playback()))
             .forEach(Attempt::requestOver);
-        List.copyOf(pools.values()).forEach(ConnectionPool::sweep);
+        List.copyOf(pools.values()).stream().sorted(Comparator.comparingLong(pool -> pool.connectedAt)).forEach(ConnectionPool::sweep);
         List.copyOf(replaced).forEach(ConnectionPool::sweep);
     }
 
@@ -163,14 +165,23 @@
         return heldConnections;
     }
 
+    /** What a connection is wanted for where there is room for no more. */
+    private enum Purpose {
+        /** Something is to be sent now. */
+        SEND,
+        /** The host may have something to say. */
+        LISTEN
+    }
+
     /** Whether one more connection may be held; for it the longest idle one is closed, first where nothing plays. */
-    private boolean makeRoom() {
+    private boolean makeRoom(Purpose purpose) {
         if (heldConnections - endingConnections.size() < maxConnections) {
             return true;
         }
         HostConnection least = pools.values().stream().flatMap(p -> p.connections.stream())
-            .filter(connection -> connection.up && connection.unused() && !connection.ending && connection.duplex.flushed())
+            .filter(connection -> connection.mayMakeRoom() && (purpose == Purpose.SEND || connection.listenedLongEnough()))
             .min(Comparator.comparing((HostConnection connection) -> connection.pool.followed)
+                .thenComparing(connection -> !connection.listenedLongEnough())
                 .thenComparing(HostConnection::mayHoldUnsaidEnds)
                 .thenComparingLong(connection -> connection.usedAt)).orElse(null);
         if (least != null) {
@@ -577,6 +588,8 @@
         private Lifeline lifeline = new Lifeline(System.nanoTime(), limits.connectTimeout());
         /** When something came from the host last, on any connection. */
         private long heardAt = NEVER;
+        /** When a connection came up last. */
+        private long connectedAt = NEVER;
         /** When a connection that was up ended last. */
         private long endedAt = NEVER;
         /** No connection has come up since one ended on which the host may have said something that was not read. */
@@ -609,7 +622,7 @@
                 best = silentConnection();
             }
             boolean more = best == null || best.load() > 0 && usedConnections() < limits.mostIdle();
-            return more && makeRoom() ? new HostConnection(this) : best;
+            return more && makeRoom(Purpose.SEND) ? new HostConnection(this) : best;
         }
 
         /** The last of those that wait for the host's process, once there are enough: one more would only wait behind them. */
@@ -639,7 +652,7 @@
                 connection.send(message);
             } else if (outbound.size() < MAX_OUTBOUND && !gone) {
                 outbound.add(message);
-                if (connections.stream().allMatch(candidate -> candidate.retired) && makeRoom()) {
+                if (connections.stream().allMatch(candidate -> candidate.retired) && makeRoom(Purpose.SEND)) {
                     new HostConnection(this);
                 }
                 connection = connections.stream().filter(candidate -> !candidate.up).findFirst().orElse(null);
@@ -666,7 +679,7 @@
 
         /** Once the next try is due; the sweep looks for it. */
         private void openForOutbound() {
-            if (System.nanoTime() >= outboundRetryAt && makeRoom()) {
+            if (System.nanoTime() >= outboundRetryAt && makeRoom(Purpose.SEND)) {
                 new HostConnection(this);
             }
         }
@@ -683,7 +696,7 @@
             if (followed && gone) {
                 checkLiveness();
             } else if (followed && repeatAwaited && System.nanoTime() - closedAt >= REOPEN_AFTER
-                && usedConnections() < limits.mostIdle() && connections.stream().allMatch(candidate -> candidate.up) && makeRoom()) {
+                && usedConnections() < limits.mostIdle() && connections.stream().allMatch(candidate -> candidate.up) && makeRoom(Purpose.LISTEN)) {
                 new HostConnection(this);
             }
         }
@@ -705,11 +718,11 @@
             if (connection == null && now - closedAt < REOPEN_AFTER) {
                 return;
             }
-            switch (lifeline.step(now, connection != null)) {
+            switch (lifeline.step(now, connection != null, connections.stream().anyMatch(candidate -> !candidate.up))) {
                 case CONNECT -> {
                     if (gone) {
                         lost(); // Whoever answers at its address now is another.
-                    } else if (makeRoom()) {
+                    } else if (makeRoom(Purpose.LISTEN)) {
                         new HostConnection(this);
                     }
                 }
@@ -826,6 +839,7 @@
             this.pool = pool;
             pool.connections.add(this);
             heldConnections++;
+            pool.lifeline.began(begunAt);
             note(EventKind.HOST_CONNECTING, null);
             connecting = thread.openStreamConnection(
                 new InetSocketAddress(pool.address.host(), pool.address.port()), this::opened,
@@ -846,6 +860,7 @@
             }
             up = true;
             upAt = System.nanoTime();
+            pool.connectedAt = upAt;
             note(EventKind.HOST_CONNECTED, null);
             duplex = new Duplex(channel, buffer, MAX_QUEUED_BYTES, this);
             duplex.start();
@@ -936,6 +951,16 @@
             return attempts.isEmpty() && probes.isEmpty() && !proofs.waiting();
         }
 
+        /** Whether it may be closed for another host's connection. */
+        private boolean mayMakeRoom() {
+            return up && unused() && !ending && duplex.flushed();
+        }
+
+        /** Whether its host has said what it had to say on a new connection, or had the time for it. */
+        private boolean listenedLongEnough() {
+            return !pool.followed || alive || System.nanoTime() - upAt >= LISTENED_AT_LEAST;
+        }
+
         private boolean writable() {
             return !over && (duplex == null || duplex.isOpen());
         }
--- a/src/test/java/cypressvalve/host/rtsp/ConnectionEndsTest.java
+++ b/src/test/java/cypressvalve/host/rtsp/ConnectionEndsTest.java
@@ -4,12 +4,18 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import cypressvalve.host.HostAddress;
+import cypressvalve.net.Loopback;
 import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -19,6 +25,9 @@
 class ConnectionEndsTest extends RtspScene {
     private static final String END = "TEARDOWN rtsp://media/s RTSP/1.0\r\nCSeq: 2\r\nSession: 00000000000000aa\r\nReason: cause=16";
 
+    /** The protocol's time for an end that could not be said. */
+    private static final long OWED_WITHIN_NANOS = 8_000_000_000L;
+
     ConnectionEndsTest() throws IOException { }
 
     private Socket carriesASetUp(String id) throws Exception {
@@ -125,6 +134,45 @@
         }
     }
 
+    /** Guards against hosts that are never connected to again as no connection could be closed for theirs when they were due. */
+    @Test
+    void hostsForWhichThereWasNoRoomOnceAreConnectedToInTimeForWhatEnds() throws Exception {
+        List<ServerSocket> others = new ArrayList<>();
+        List<Thread> processes = new ArrayList<>();
+        Set<String> owed = new HashSet<>();
+        List<HostAddress> addresses = new ArrayList<>();
+        for (int i = 0; i < 3 * MOST_LINES; i++) {
+            ServerSocket other = Loopback.server();
+            String session = String.format("%016x", 0xa0 + i);
+            others.add(other);
+            owed.add("ended " + session + " OK");
+            addresses.add(new HostAddress(100 + i, "127.0.0.1", other.getLocalPort()));
+            processes.add(new Thread(() -> saysOnItsFirstConnection(other, END.replace("00000000000000aa", session))));
+        }
+        processes.forEach(Thread::start);
+        onLoop(() -> addresses.forEach(address -> client.follow(address, true)));
+        long until = System.nanoTime() + OWED_WITHIN_NANOS;
+        while (!owed.isEmpty() && System.nanoTime() < until) {
+            owed.remove(told.poll(until - System.nanoTime(), TimeUnit.NANOSECONDS));
+        }
+        assertEquals(Set.of(), owed);
+        for (ServerSocket other : others) {
+            other.close();
+        }
+        for (Thread process : processes) {
+            process.join();
+        }
+    }
+
+    private static void saysOnItsFirstConnection(ServerSocket host, String what) {
+        try (Socket line = host.accept()) {
+            say(line, what, "");
+            line.getInputStream().transferTo(OutputStream.nullOutputStream());
+        } catch (IOException e) {
+            // The connection was reset, or the test is over.
+        }
+    }
+
     /** The set-up may have reached the host that took the address before the list told of it. */
     @Test
     void aSessionOfAHostThatHasGoneIsEndedAtTheHostThatTookItsAddress() throws Exception {
--- a/src/test/java/cypressvalve/host/rtsp/LifelineTest.java
+++ b/src/test/java/cypressvalve/host/rtsp/LifelineTest.java
@@ -25,8 +25,11 @@
                 lifeline.unreached(unreachedAt);
                 unreachedAt = Long.MAX_VALUE;
             }
-            switch (lifeline.step(now, true)) {
-                case CONNECT -> unreachedAt = now + CONNECT_TIMEOUT + late;
+            switch (lifeline.step(now, true, unreachedAt < Long.MAX_VALUE)) {
+                case CONNECT -> {
+                    lifeline.began(now);
+                    unreachedAt = now + CONNECT_TIMEOUT + late;
+                }
                 case LOST -> {
                     return now;
                 }
@@ -47,7 +50,7 @@
     void aHostThatStandsStillIsKeptAsItsSystemTakesConnections() {
         Lifeline lifeline = new Lifeline(0, CONNECT_TIMEOUT);
         for (long now = LOOK; now < 20_000 * MILLI; now += LOOK) {
-            Lifeline.Step step = lifeline.step(now, true);
+            Lifeline.Step step = lifeline.step(now, true, false);
             assertNotEquals(Lifeline.Step.LOST, step);
             if (step == Lifeline.Step.CONNECT) {
                 lifeline.connected(now);
@@ -59,7 +62,7 @@
     void aHostThatAnswersOnItsOpenConnectionIsKeptThoughItIsQuietAndNoNewConnectionComesUp() {
         Lifeline lifeline = new Lifeline(0, CONNECT_TIMEOUT);
         for (long now = LOOK; now < 20_000 * MILLI; now += LOOK) {
-            Lifeline.Step step = lifeline.step(now, true);
+            Lifeline.Step step = lifeline.step(now, true, false);
             assertNotEquals(Lifeline.Step.LOST, step, "at " + now / MILLI);
             if (step == Lifeline.Step.TEST) {
                 lifeline.heard(now + MILLI);
@@ -74,7 +77,18 @@
         for (long now = LOOK; now < 20_000 * MILLI; now += LOOK) {
             lifeline.heard(now);
             lifeline.unreached(now);
-            assertEquals(true, lifeline.step(now, true) != Lifeline.Step.LOST);
+            assertEquals(true, lifeline.step(now, true, false) != Lifeline.Step.LOST);
         }
     }
+
+    /** Guards against a host that is never connected to again as there was no room for a connection once. */
+    @Test
+    void aTryForWhichThereWasNoRoomIsDueAgain() {
+        Lifeline lifeline = new Lifeline(0, CONNECT_TIMEOUT);
+        assertEquals(Lifeline.Step.CONNECT, lifeline.step(0, false, false));
+        assertEquals(Lifeline.Step.CONNECT, lifeline.step(LOOK, false, false), "none was begun");
+        lifeline.began(LOOK);
+        assertEquals(Lifeline.Step.NOTHING, lifeline.step(2 * LOOK, false, true));
+        assertEquals(Lifeline.Step.CONNECT, lifeline.step(3 * LOOK, false, false), "it was given up before it came up");
+    }
 }
--- a/src/test/java/cypressvalve/host/rtsp/RtspTest.java
+++ b/src/test/java/cypressvalve/host/rtsp/RtspTest.java
@@ -96,27 +96,28 @@
     @Test
     void aHostThatRefusesThriceIsLostAndOneThatAnswersIsNot() {
         Lifeline line = new Lifeline(0, 250 * MS);
-        assertEquals(Lifeline.Step.CONNECT, line.step(0, false));
-        assertEquals(Lifeline.Step.NOTHING, line.step(100 * MS, false), "one try at a time");
+        assertEquals(Lifeline.Step.CONNECT, line.step(0, false, false));
+        line.began(0);
+        assertEquals(Lifeline.Step.NOTHING, line.step(350 * MS, false, true), "one try at a time");
         for (int i = 1; i <= 3; i++) {
             line.unreached(i * 400 * MS);
             line.unreached(i * 400 * MS);
-            Lifeline.Step step = line.step(i * 400 * MS, false);
+            Lifeline.Step step = line.step(i * 400 * MS, false, false);
             assertEquals(i == 3 ? Lifeline.Step.LOST : Lifeline.Step.CONNECT, step);
         }
         line.heard(1300 * MS);
-        assertEquals(Lifeline.Step.NOTHING, line.step(1300 * MS, true));
+        assertEquals(Lifeline.Step.NOTHING, line.step(1300 * MS, true, false));
     }
 
     @Test
     void aHostThatSaysNothingIsTestedAndThenTriedAnew() {
         Lifeline line = new Lifeline(0, 250 * MS);
-        assertEquals(Lifeline.Step.NOTHING, line.step(4500 * MS, true));
-        assertEquals(Lifeline.Step.TEST, line.step(4600 * MS, true));
-        assertEquals(Lifeline.Step.NOTHING, line.step(4700 * MS, true));
-        assertEquals(Lifeline.Step.CONNECT, line.step(5600 * MS, true), "no answer: does a connection come up?");
+        assertEquals(Lifeline.Step.NOTHING, line.step(4500 * MS, true, false));
+        assertEquals(Lifeline.Step.TEST, line.step(4600 * MS, true, false));
+        assertEquals(Lifeline.Step.NOTHING, line.step(4700 * MS, true, false));
+        assertEquals(Lifeline.Step.CONNECT, line.step(5600 * MS, true, false), "no answer: does a connection come up?");
         line.connected(5610 * MS);
-        assertEquals(Lifeline.Step.NOTHING, line.step(5700 * MS, true), "it stands still, but lives");
+        assertEquals(Lifeline.Step.NOTHING, line.step(5700 * MS, true, false), "it stands still, but lives");
     }
 
     /** Its viewers are owed the end within 8 s, looks are 250 ms apart, and each try takes its whole time. */
@@ -133,8 +134,11 @@
                 line.unreached(tried + connectMs * MS);
                 tried = -1;
             }
-            step = line.step(now, true);
-            tried = step == Lifeline.Step.CONNECT ? now : tried;
+            step = line.step(now, true, tried >= 0);
+            if (step == Lifeline.Step.CONNECT) {
+                line.began(now);
+                tried = now;
+            }
             tests += step == Lifeline.Step.TEST ? 1 : 0;
         }
         assertTrue(now < 7800 * MS, "lost at " + now / MS + " ms");
