Spoilt answers after a start pass for no form of the fleet's own, however many come

Cause: AnswerJudge took the third answer in a row with lines of the same kinds for a form of the fleet's own while none had conformed; noise in a line has one kind whatever it is. Change: what has a line of the offer's form beside one that is none of a description was altered and is refused for good. An end of line behind a body without one shows that its length is wrong.

--- a/src/main/java/cypressvalve/host/answer/AnswerJudge.java
+++ b/src/main/java/cypressvalve/host/answer/AnswerJudge.java
@@ -1,17 +1,17 @@
 package cypressvalve.host.answer;
 
+import java.util.HashMap;
 import java.util.LinkedHashSet;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
 /**
  * Decides whether a media host's answer may be passed on. What conforms to its offer may. Media hosts may have a form of their own,
- * which the protocol leaves free: another form is accepted once several answers in a row had it and none ever conformed, as an answer
- * that was cut or altered does not come so. Where content does not show that an answer is whole, what follows it on its connection must.
+ * which the protocol leaves free: another form is accepted once {@link OwnForm} has shown it and no answer ever conformed. What has a line
+ * of the offer's form and differs otherwise was altered, however many come so. Where content does not show that an answer is whole, what follows it on its connection must.
  */
 public final class AnswerJudge {
-    /** So many answers in a row of one form show that media hosts answer so. */
-    private static final int FORM_SHOWN_BY = 3;
     private static final int MAX_SHAPES = 64;
 
     /** What has shown where an answer ends. */
@@ -42,8 +42,9 @@
 
     private final Set<DescriptionShape> accepted = new LinkedHashSet<>();
     private boolean seenConforming;
-    private DescriptionShape candidate;
-    private int inARow;
+    /** Forms of the media hosts' own that were accepted, by their shapes. */
+    private final Map<DescriptionShape, OwnForm> ownForms = new HashMap<>();
+    private OwnForm candidate;
 
     /**
      * Judges an answer.
@@ -55,7 +56,7 @@
     public Judgement judge(byte[] offered, byte[] answered, Proof proof) {
         OfferAnswer.Result result = OfferAnswer.compare(offered, answered);
         boolean conforms = result.kind() == OfferAnswer.Kind.CONFORMS;
-        boolean mayBeOwnForm = result.kind() == OfferAnswer.Kind.OTHER_FORM && !seenConforming;
+        boolean mayBeOwnForm = result.kind() != OfferAnswer.Kind.MALFORMED && !seenConforming;
         if (!conforms && !mayBeOwnForm) {
             return new Judgement(Decision.REJECT, result.why());
         }
@@ -93,6 +94,7 @@
             if (!seenConforming) {
                 seenConforming = true;
                 accepted.clear();
+                ownForms.clear();
             }
             remember(result.answer().get().shape());
         }
@@ -100,24 +102,31 @@
     }
 
     private Judgement ownForm(OfferAnswer.Result result) {
-        DescriptionShape shape = result.answer().get().shape();
-        if (accepted.contains(shape)) {
+        Description answer = result.answer().get();
+        DescriptionShape shape = answer.shape();
+        OwnForm known = ownForms.get(shape);
+        if (known != null && accepted.contains(shape)) {
             candidate = null;
-            return Judgement.ACCEPTED;
+            return known.admits(answer) ? Judgement.ACCEPTED : new Judgement(Decision.REJECT, result.why());
+        }
+        if (candidate == null || !candidate.shape().equals(shape)) {
+            candidate = new OwnForm(shape, result.kind());
         }
-        inARow = shape.equals(candidate) ? inARow + 1 : 1;
-        candidate = shape;
-        if (inARow < FORM_SHOWN_BY || accepted.stream().anyMatch(shape::isCutOf)) {
+        candidate.seen(answer);
+        if (!candidate.shown() || accepted.stream().anyMatch(shape::isCutOf)) {
             return new Judgement(Decision.REJECT, result.why());
         }
         remember(shape);
+        ownForms.put(shape, candidate);
         return Judgement.ACCEPTED;
     }
 
     private void remember(DescriptionShape shape) {
         accepted.add(shape);
         if (accepted.size() > MAX_SHAPES) {
-            accepted.remove(accepted.iterator().next());
+            DescriptionShape oldest = accepted.iterator().next();
+            accepted.remove(oldest);
+            ownForms.remove(oldest);
         }
     }
 }
--- a/src/main/java/cypressvalve/host/answer/DescriptionLine.java
+++ b/src/main/java/cypressvalve/host/answer/DescriptionLine.java
@@ -43,7 +43,7 @@
 
     /** Whether a typed line's value has the form that RFC 8866 gives for its type, where that is strict enough to tell. */
     boolean wellFormed() {
-        if (KNOWN_TYPES.indexOf(type) < 0 || value.isEmpty()) {
+        if (!typed() || KNOWN_TYPES.indexOf(type) < 0 || value.isEmpty()) {
             return false;
         }
         return switch (type) {
--- a/src/main/java/cypressvalve/host/answer/OfferAnswer.java
+++ b/src/main/java/cypressvalve/host/answer/OfferAnswer.java
@@ -12,9 +12,13 @@
     enum Kind {
         /** Nothing about its form is in doubt. */
         CONFORMS,
-        /** It is text, but not what the standards let answer this offer: cut, altered, or of a fleet with a form of its own. */
+        /** It would conform if its last line were ended, as the offer's is. */
+        UNENDED,
+        /** Every line is one of a description, but lines or streams are left out: of a fleet whose answers say less, or cut. */
+        PARTIAL,
+        /** It is text, but nothing in it has the form of the offer: it may be of a fleet with a form of its own. */
         OTHER_FORM,
-        /** It is no description. */
+        /** It is no description, or one of the offer's form that was altered or cut. */
         MALFORMED
     }
 
@@ -41,27 +45,47 @@
         if (answer.isEmpty()) {
             return new Result(Kind.MALFORMED, "a description that is no text", answer);
         }
-        String why = difference(offer.get(), answer.get());
-        return new Result(why.isEmpty() ? Kind.CONFORMS : Kind.OTHER_FORM, why, answer);
+        return compare(offer.get(), answer.get(), answer);
     }
 
-    private static String difference(Description offer, Description answer) {
-        if (offer.endsLine() && !answer.endsLine()) {
-            return "a description that ends within a line";
+    private static Result compare(Description offer, Description answer, Optional<Description> read) {
+        String altered = alteration(offer, answer);
+        if (!altered.isEmpty()) {
+            return new Result(hasLineOf(offer, answer) ? Kind.MALFORMED : Kind.OTHER_FORM, altered, read);
         }
-        if (answer.hasBlankLine() && !offer.hasBlankLine()) {
-            return "a blank line";
+        String missing = offer.describesMedia() ? omission(offer, answer) : "";
+        if (!missing.isEmpty()) {
+            return new Result(hasLineOf(offer, answer) ? Kind.PARTIAL : Kind.OTHER_FORM, missing, read);
         }
-        return offer.describesMedia() ? mediaDifference(offer, answer) : "";
+        boolean unended = offer.endsLine() && !answer.endsLine();
+        return unended ? new Result(Kind.UNENDED, "a description that ends within a line", read) : new Result(Kind.CONFORMS, "", read);
     }
 
-    private static String mediaDifference(Description offer, Description answer) {
+    /** Whether one of its lines has the form of one of the offer's, so that what else differs was altered or cut. */
+    private static boolean hasLineOf(Description offer, Description answer) {
+        boolean asFirst = offer.lines().get(0).hexadecimal() && answer.lines().get(0).hexadecimal();
+        return offer.describesMedia() && (asFirst || answer.lines().stream().anyMatch(line -> line.wellFormed() && offer.has(line.type())));
+    }
+
+    /** What stands in the answer that no answer to this offer has; empty if nothing does. */
+    private static String alteration(Description offer, Description answer) {
+        if (answer.hasBlankLine() && !offer.hasBlankLine()) {
+            return "a blank line";
+        }
+        if (!offer.describesMedia()) {
+            return "";
+        }
         for (int i = 0; i < answer.lines().size(); i++) {
             DescriptionLine line = answer.lines().get(i);
             if (line.typed() ? !line.wellFormed() : i > 0 || !standsFor(line, offer.lines().get(0))) {
                 return "line " + (i + 1) + " is none of a description";
             }
         }
+        return answersInOrder(offer.media(), answer.media()) ? "" : "other streams than were offered";
+    }
+
+    /** What an answer to this offer has and that one has not; empty if it has all. */
+    private static String omission(Description offer, Description answer) {
         for (char type : MIRRORED) {
             if (offer.has(type) && !answer.has(type)) {
                 return "no line " + type + "=";
@@ -70,7 +94,7 @@
         if (offer.has('c') && !answer.hasAddresses()) {
             return "no address";
         }
-        return answersAll(offer.media(), answer.media()) ? "" : "other streams than were offered";
+        return offer.media().size() == answer.media().size() ? "" : "fewer streams than were offered";
     }
 
     /** The protocol's descriptions begin with a line of digits, which RFC 8866 does not know. */
@@ -78,11 +102,12 @@
         return !offered.typed() && (answered.hexadecimal() || !offered.hexadecimal());
     }
 
-    private static boolean answersAll(List<MediaLine> offered, List<MediaLine> answered) {
-        if (offered.size() != answered.size()) {
+    /** Whether its streams answer the first ones that were offered; there may be fewer. */
+    private static boolean answersInOrder(List<MediaLine> offered, List<MediaLine> answered) {
+        if (answered.size() > offered.size()) {
             return false;
         }
-        for (int i = 0; i < offered.size(); i++) {
+        for (int i = 0; i < answered.size(); i++) {
             if (!answered.get(i).answers(offered.get(i))) {
                 return false;
             }
--- a/src/main/java/cypressvalve/host/rtsp/Rtsp.java
+++ b/src/main/java/cypressvalve/host/rtsp/Rtsp.java
@@ -95,6 +95,8 @@
         private int headBytes;
         private Rtsp pending;
         private int filled;
+        /** The last message had a body whose last line has no end: one that follows was left out of its length. */
+        private boolean unendedBody;
 
         /** Whether a message has begun and not ended. */
         boolean within() {
@@ -115,6 +117,10 @@
                     Rtsp whole = pending;
                     pending = null;
                     filled = 0;
+                    unendedBody = whole.body.length > 0 && whole.body[whole.body.length - 1] != '\n';
+                    if (data.hasRemaining()) {
+                        checkBehindBody(data.get(data.position()));
+                    }
                     check(whole, data);
                     return whole;
                 }
@@ -126,6 +132,8 @@
             if (++headBytes > MOST) {
                 throw new Unreadable("a head over " + MOST + " bytes");
             }
+            checkBehindBody(b);
+            unendedBody = false;
             if (b != '\n') {
                 if (b != '\r' && b != '\t' && (b < 32 || b == 127)) {
                     throw new Unreadable("a byte that is no text");
@@ -147,6 +155,13 @@
             }
         }
 
+        /** An end of line may stand between messages, but not where the body before it has none: it was left out of its length. */
+        private void checkBehindBody(byte next) throws Unreadable {
+            if (unendedBody && (next == '\r' || next == '\n')) {
+                throw new Unreadable("an end of line behind a body without one");
+            }
+        }
+
         /** A line's text without its carriage return. */
         private static String text(byte[] line) throws Unreadable {
             String text;
--- a/src/main/java/cypressvalve/soak/SpoiltForm.java
+++ b/src/main/java/cypressvalve/soak/SpoiltForm.java
@@ -23,6 +23,8 @@
     UNENDING_LINE,
     /** The body's bytes are noise that ends as the body did; the length fits. */
     NOISE_IN_BODY,
+    /** Some characters of the body's first line are altered; the length fits. */
+    NOISE_IN_FIRST_LINE,
     /** The bytes of all lines of the body behind the first are altered; the length fits. */
     ALTERED_LINES,
     /** The length leaves out the last lines, which come later. */
@@ -63,6 +65,8 @@
     /** How long what comes later may take, in milliseconds. */
     private static final int[] LATER_MILLIS = {1, 10, 100};
     private static final int NOISE_BYTES = 24;
+    private static final int ALTERED_CHARACTERS = 3;
+    private static final String NOISE_CHARACTERS = "ghjkqwxyz#~%&";
     private static final int UNENDING_BYTES = 20_000;
     private static final int HUGE_BYTES = 100_000;
     private static final String LENGTH_FIELD = "Content-Length: ";
@@ -113,6 +117,7 @@
             case UNREADABLE_FIELD -> whole(message(head + text(noise(chance, NOISE_BYTES)), String.valueOf(body.length), body));
             case UNENDING_LINE -> whole(bytes(head + "X-More: " + "x".repeat(UNENDING_BYTES)));
             case NOISE_IN_BODY -> whole(message(head, String.valueOf(body.length), noiseLike(body, chance)));
+            case NOISE_IN_FIRST_LINE -> whole(message(head, String.valueOf(body.length), withNoiseInFirstLine(body, chance)));
             case ALTERED_LINES -> whole(message(head, String.valueOf(body.length), altered(body, chance)));
             case LENGTH_LEAVES_OUT_LINES -> shortened(head, body, linesKept(body, chance), later, false);
             case LENGTH_LEAVES_OUT_LINES_AND_CLOSES -> closing(message(head, body, linesKept(body, chance)));
@@ -200,6 +205,16 @@
         return noise;
     }
 
+    /** Up to three characters of the first line become others that no digit or type of a line is. */
+    private static byte[] withNoiseInFirstLine(byte[] body, RandomGenerator chance) {
+        byte[] noisy = body.clone();
+        int length = lineEnds(body).get(0) - 2;
+        for (int i = 0; i < ALTERED_CHARACTERS; i++) {
+            noisy[chance.nextInt(length)] = (byte) NOISE_CHARACTERS.charAt(chance.nextInt(NOISE_CHARACTERS.length()));
+        }
+        return noisy;
+    }
+
     /** Every byte behind the first line but ends of lines becomes another printable one or, in part of the cases, any. */
     private static byte[] altered(byte[] body, RandomGenerator chance) {
         byte[] altered = body.clone();
--- a/src/test/java/cypressvalve/host/rtsp/SpoiltMessagesTest.java
+++ b/src/test/java/cypressvalve/host/rtsp/SpoiltMessagesTest.java
@@ -162,6 +162,21 @@
         assertTrue(possible.containsAll(connection.acted), () -> "acted on " + connection.acted);
     }
 
+    /** Guards against a gateway that takes the first answers after its start for a form of the fleet's own, as all of them are spoilt. */
+    @Property(tries = 3_000, seed = SEED, shrinking = ShrinkingMode.BOUNDED)
+    void howeverManyOfTheFirstAnswersAreSpoiltNoneIsServed(@ForAll SpoiltForm form, @ForAll("descriptions") DescriptionForm descriptions,
+        @ForAll @IntRange(min = 3, max = 10) int spoilt, @ForAll long chance, @ForAll("reads") List<Integer> reads) throws Exception {
+        RandomGenerator random = RandomGeneratorFactory.of("L64X128MixRandom").create(chance);
+        AnswerJudge judge = new AnswerJudge();
+        for (int i = 0; i < spoilt; i++) {
+            byte[] body = bytes(descriptions.answer("host-" + i, SESSION));
+            Connection connection = new Connection(judge, bytes(offered(descriptions).offer(SESSION)));
+            connection.read(form.spoil(Message.ANSWER.head, body, random).bytes(), reads);
+            connection.read(Message.NOTE.good(descriptions), reads);
+            assertTrue(connection.served.stream().allMatch(new String(body, StandardCharsets.ISO_8859_1)::equals), () -> "served " + connection.served);
+        }
+    }
+
     private static String told(Message message) throws Rtsp.Unreadable {
         return told(new Rtsp.Reader().next(ByteBuffer.wrap(message.good(DescriptionForm.PAGE))));
     }
