What is being taken of a connection stays though another is read meanwhile

Cause: all connections read into one buffer that was handed to the taker itself. A release to a host without a connection ended another's, and past eight that end the oldest was read from within the viewers' taker. Change: takers get bytes of their own; a connection is not read within its own taker; one that is closed for its descriptor is drained at once and what came is taken in a task of its own.

--- a/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
+++ b/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
@@ -1120,13 +1120,17 @@
             }
         }
 
+        /** Its descriptor is free at once; what came on it is still taken. */
         private void closeUnended() {
-            duplex.readNow();
-            if (!over) {
-                close("the host has not ended it");
+            note(EventKind.HOST_CLOSED, "the host has not ended it");
+            removeFromPool();
+            duplex.closeAndTakeRest(() -> {
+                over = true;
                 resendUnread();
-                pool.connectionEnded();
-            }
+                if (!duplex.endedByPeer() || duplex.resetByPeer()) {
+                    pool.connectionEnded();
+                }
+            });
         }
 
         /**
--- a/src/main/java/cypressvalve/net/Duplex.java
+++ b/src/main/java/cypressvalve/net/Duplex.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -18,7 +20,7 @@
 public final class Duplex {
     /** What the connection brings. */
     public interface Taker {
-        /** Takes all bytes of the buffer; it is used again afterwards. */
+        /** Takes all bytes of the buffer, which is its own: other connections may be read meanwhile. */
         void bytes(ByteBuffer data);
 
         /** It is closed, from whichever side; told once, and not by {@link Duplex#close}. */
@@ -93,12 +95,13 @@
     }
 
     /**
-     * Reads what has come by now, as on a late loop it may have come long ago; not from within a taker.
+     * Reads what has come by now, as on a late loop it may have come long ago. From within its own taker nothing is read: what comes next
+     * would be taken before the rest of what is being taken.
      *
      * @return whether anything had come
      */
     public boolean readNow() {
-        return !closed && read(connection.getSourceChannel(), Long.MAX_VALUE) > 0;
+        return !closed && !taking && read(connection.getSourceChannel(), Long.MAX_VALUE) > 0;
     }
 
     /**
@@ -109,8 +112,6 @@
         long bytes = 0;
         try {
             while (bytes < ALL_BYTES && !closed && System.nanoTime() < until) {
-                buffer.clear();
-                buffer.limit(Math.min(buffer.capacity(), READ_BYTES));
                 int n = readBytes(source);
                 if (n < 0) {
                     endedByPeer = true;
@@ -120,9 +121,8 @@
                     return bytes;
                 }
                 bytes += n;
-                buffer.flip();
                 if (!closing) {
-                    handOver(buffer);
+                    handOver(copyOfRead());
                 }
             }
         } catch (IOException | RuntimeException e) {
@@ -144,7 +144,15 @@
         }
     }
 
+    /** What was read last, apart from the shared buffer: its taker may lead to other connections being read. */
+    private ByteBuffer copyOfRead() {
+        buffer.flip();
+        return ByteBuffer.allocate(buffer.remaining()).put(buffer).flip();
+    }
+
     private int readBytes(StreamSourceChannel source) throws IOException {
+        buffer.clear();
+        buffer.limit(Math.min(buffer.capacity(), READ_BYTES));
         try {
             return source.read(buffer);
         } catch (IOException e) {
@@ -299,6 +307,37 @@
         close();
     }
 
+    /**
+     * Closes at once. What has come by now is taken in a task of its own, and then the other task is run: who closes may be within the
+     * handling of other bytes, which what is taken must not change under it.
+     */
+    public void closeAndTakeRest(Runnable afterwards) {
+        List<ByteBuffer> rest = rest();
+        close();
+        connection.getIoThread().execute(() -> {
+            try {
+                rest.forEach(taker::bytes);
+            } finally {
+                afterwards.run();
+            }
+        });
+    }
+
+    private List<ByteBuffer> rest() {
+        List<ByteBuffer> rest = new ArrayList<>();
+        try {
+            int n = closed ? 0 : readBytes(connection.getSourceChannel());
+            for (long bytes = n; n > 0 && bytes < ALL_BYTES; bytes += n) {
+                rest.add(copyOfRead());
+                n = readBytes(connection.getSourceChannel());
+            }
+            endedByPeer |= n < 0;
+        } catch (IOException e) {
+            // It was reset: what had come before that is all that can be read.
+        }
+        return rest;
+    }
+
     /** Closes at once, without a word to the taker. */
     public void close() {
         shut();
--- a/src/test/java/cypressvalve/net/DuplexTest.java
+++ b/src/test/java/cypressvalve/net/DuplexTest.java
@@ -10,6 +10,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.function.Consumer;
@@ -39,8 +40,12 @@
 
     /** Connects, and hands the connection over on its loop. */
     private Socket with(Duplex.Taker taker, Consumer<Duplex> use) throws Exception {
+        return with(ByteBuffer.allocate(4096), taker, use);
+    }
+
+    private Socket with(ByteBuffer buffer, Duplex.Taker taker, Consumer<Duplex> use) throws Exception {
         worker.getIoThread().openStreamConnection(new InetSocketAddress(InetAddress.getLoopbackAddress(), server.getLocalPort()),
-            c -> use.accept(new Duplex(c, ByteBuffer.allocate(4096), MOST, taker)), OptionMap.EMPTY);
+            c -> use.accept(new Duplex(c, buffer, MOST, taker)), OptionMap.EMPTY);
         return server.accept();
     }
 
@@ -182,4 +187,86 @@
             assertEquals(-1, in.read());
         }
     }
+
+    /** Guards against bytes that change while they are taken, as their taker leads to another connection being read. */
+    @Test
+    void whatIsBeingTakenStaysThoughAnotherConnectionIsReadMeanwhile() throws Exception {
+        ByteBuffer shared = ByteBuffer.allocate(4096);
+        LinkedBlockingQueue<String> taken = new LinkedBlockingQueue<>();
+        Duplex[] made = new Duplex[2];
+        CountDownLatch bothSpoke = new CountDownLatch(1);
+        try (Socket inner = with(shared, data -> taken.add("inner " + text(data)), duplex -> {
+            made[0] = duplex;
+            answers.add(true);
+        })) {
+            answers.take();
+            try (Socket outer = with(shared, data -> {
+                String first = String.valueOf((char) data.get());
+                made[0].readNow();
+                made[1].readNow();
+                taken.add("outer " + first + text(data));
+            }, duplex -> {
+                made[1] = duplex;
+                answers.add(true);
+            })) {
+                answers.take();
+                inner.getOutputStream().write("stale".getBytes(StandardCharsets.US_ASCII));
+                outer.getOutputStream().write("whole".getBytes(StandardCharsets.US_ASCII));
+                worker.getIoThread().execute(() -> readUntilTaken(made[1], taken));
+                assertEquals("inner stale", taken.take());
+                assertEquals("outer whole", taken.take());
+            }
+        }
+    }
+
+    /** Both sockets are loopback's: what the peers wrote before has come, at the latest after some looks. */
+    private static void readUntilTaken(Duplex duplex, LinkedBlockingQueue<String> taken) {
+        while (taken.isEmpty()) {
+            duplex.readNow();
+        }
+    }
+
+    @Test
+    void whatCameBeforeACloseIsTakenAfterTheCallThatClosed() throws Exception {
+        LinkedBlockingQueue<String> taken = new LinkedBlockingQueue<>();
+        Duplex[] made = new Duplex[1];
+        CountDownLatch spoke = new CountDownLatch(1);
+        try (Socket peer = with(ByteBuffer.allocate(4), data -> taken.add(text(data)), duplex -> {
+            made[0] = duplex;
+            answers.add(true);
+        })) {
+            answers.take();
+            peer.getOutputStream().write("last words".getBytes(StandardCharsets.US_ASCII));
+            peer.shutdownOutput();
+            worker.getIoThread().execute(() -> {
+                made[0].closeAndTakeRest(() -> taken.add("closed"));
+                taken.add("returned");
+            });
+            assertEquals(-1, peer.getInputStream().read());
+            StringBuilder all = new StringBuilder();
+            assertEquals("returned", taken.take());
+            for (String part = taken.take(); !part.equals("closed"); part = taken.take()) {
+                all.append(part);
+            }
+            assertEquals("last words", all.toString());
+        }
+    }
+
+    private static String text(ByteBuffer data) {
+        byte[] bytes = new byte[data.remaining()];
+        data.get(bytes);
+        return new String(bytes, StandardCharsets.US_ASCII);
+    }
+
+    private Socket with(ByteBuffer buffer, Consumer<ByteBuffer> taker, Consumer<Duplex> use) throws Exception {
+        return with(buffer, new Duplex.Taker() {
+            @Override
+            public void bytes(ByteBuffer data) {
+                taker.accept(data);
+            }
+
+            @Override
+            public void closed() { }
+        }, use);
+    }
 }
