A session whose host is found lost as it is told of the end ends once

Cause: SessionCore told the media host of an end, and ended the session after that, whatever had come of it: a write that breaks the host's last connection may show that it is lost, which ends the session by itself. It was told twice, freed twice and unfollowed its host twice. Change: a session that does not play any more is not ended again. Result: SessionCoreTest.aSessionWhoseHostIsLostAsItIsToldOfTheEndEndsOnce failed before (two ends) and passes.

--- a/src/main/java/cypressvalve/session/SessionCore.java
+++ b/src/main/java/cypressvalve/session/SessionCore.java
@@ -272,8 +272,11 @@
         }
     }
 
-    /** A playing session is over: the module hears of it, the front finds it gone. */
+    /** A playing session is over, once: the module hears of it, the front finds it gone. What the host is told may bring the end by itself. */
     private void ended(Session session, Session.End end, Verdict verdict) {
+        if (session.state != Session.State.PLAYING) {
+            return;
+        }
         SetupTry last = session.playback.lastTry();
         session.end = end;
         session.state = Session.State.ENDED;
--- a/src/test/java/cypressvalve/session/SessionCoreTest.java
+++ b/src/test/java/cypressvalve/session/SessionCoreTest.java
@@ -53,6 +53,7 @@
     private final List<Carried> carried = new ArrayList<>();
     private final List<String> ends = new ArrayList<>();
     private boolean lostWhenFollowed;
+    private boolean lostWhenReleased;
 
     SessionCoreTest() {
         Doc doc = Doc.parse("test", SERVICE);
@@ -355,6 +356,17 @@
         assertEquals(0, core.held(Session.State.PLAYING));
     }
 
+    /** Guards against a session that ends twice, as telling its host shows that the host is lost: it would free two seats. */
+    @Test
+    void aSessionWhoseHostIsLostAsItIsToldOfTheEndEndsOnce() {
+        lostWhenReleased = true;
+        ask("a", "plain");
+        results.get(0).started(LoadReport.NONE);
+        core.end(open.get(0));
+        assertEquals(List.of("a HOST_LOST after [a plays]"), ends);
+        assertEquals(1, calls.stream().filter(call -> call.startsWith("unfollow")).count());
+    }
+
     /** Media hosts that keep each set-up's result for the test to tell. */
     private final class TestHosts implements HostClient {
         @Override
@@ -376,6 +388,10 @@
         @Override
         public void release(HostAddress host, String session) {
             calls.add("release " + session);
+            if (lostWhenReleased) {
+                lostWhenReleased = false;
+                core.lost(host.id());
+            }
         }
 
         @Override
