A media host that speaks again after its silence is given a new connection for what it said

Cause: what such a host writes on connections that were closed or reset here meanwhile is not read; the connections opened since it had taken before it said anything, and none was opened after. Change: EndRepeats opens one 0.3 s after the first word behind a silence in which a connection was given up. Emulated hosts that hang see to what was due first and write on what they take for open; half of them go on taking connections.

--- /dev/null
+++ b/src/main/java/cypressvalve/host/rtsp/EndRepeats.java
@@ -0,0 +1,65 @@
+package cypressvalve.host.rtsp;
+
+/**
+ * When a media host is to be given a new connection, as it says ends of sessions again on the next one that is opened: after a connection
+ * has ended on which it may have said something unread, and once it speaks again after connections were given up while it said nothing.
+ * Such a host may not know yet what was given up, and may have taken the connections opened since before it said anything. Free of I/O
+ * and of clocks; times are nanoseconds.
+ */
+final class EndRepeats {
+    /** From a host's first word after its silence: by then it has taken note of what was given up, and said the rest elsewhere. */
+    private static final long TAKES_NOTE = 300_000_000L;
+    private static final long NEVER = Long.MIN_VALUE / 2;
+
+    private long endedAt = NEVER;
+    /** No connection has come up since one ended. */
+    private boolean awaited;
+    /** A connection was given up, and the host has said nothing since. */
+    private boolean givenUpInSilence;
+    /** When the host spoke first after that; a connection is due for it. */
+    private long spokeAt = NEVER;
+
+    /** A connection that was up has ended: what the host said on it last may be lost. */
+    void ended(long now) {
+        endedAt = now;
+        awaited = true;
+    }
+
+    /** A connection on which the host said nothing was given up here. */
+    void givenUpInSilence() {
+        givenUpInSilence = true;
+    }
+
+    /** Something came from the host, on any connection. */
+    void heard(long now) {
+        if (givenUpInSilence) {
+            givenUpInSilence = false;
+            spokeAt = now;
+        }
+    }
+
+    /** A connection came up. */
+    void connected() {
+        awaited = false;
+    }
+
+    /** A session of a set-up that left then plays: a connection that has ended since may have carried its end. */
+    void begun(long sentAt, boolean others) {
+        awaited = others && awaited || endedAt >= sentAt;
+    }
+
+    /** Whether a connection is awaited since one ended. */
+    boolean awaited() {
+        return awaited;
+    }
+
+    /** Whether one more is due as the host has gone on, whatever connections there are. */
+    boolean dueAfterSilence(long now) {
+        return spokeAt != NEVER && now - spokeAt >= TAKES_NOTE;
+    }
+
+    /** The connection that was due is being opened. */
+    void begunAfterSilence() {
+        spokeAt = NEVER;
+    }
+}
--- a/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
+++ b/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
@@ -590,10 +590,7 @@
         private long heardAt = NEVER;
         /** When a connection came up last. */
         private long connectedAt = NEVER;
-        /** When a connection that was up ended last. */
-        private long endedAt = NEVER;
-        /** No connection has come up since one ended on which the host may have said something that was not read. */
-        private boolean repeatAwaited;
+        private final EndRepeats repeats = new EndRepeats();
         /** How often a connection was tried for what waits alone. */
         private int outboundTries;
         private long outboundRetryAt = Long.MIN_VALUE / 2;
@@ -686,8 +683,7 @@
 
         /** One that was up has ended: what the host said on it last may be lost. */
         private void connectionEnded() {
-            endedAt = System.nanoTime();
-            repeatAwaited = true;
+            repeats.ended(System.nanoTime());
             reopen();
         }
 
@@ -695,7 +691,10 @@
         private void reopen() {
             if (followed && gone) {
                 checkLiveness();
-            } else if (followed && repeatAwaited && System.nanoTime() - closedAt >= REOPEN_AFTER
+            } else if (followed && repeats.dueAfterSilence(System.nanoTime()) && makeRoom(Purpose.LISTEN)) {
+                repeats.begunAfterSilence();
+                new HostConnection(this);
+            } else if (followed && repeats.awaited() && System.nanoTime() - closedAt >= REOPEN_AFTER
                 && usedConnections() < limits.mostIdle() && connections.stream().allMatch(candidate -> candidate.up) && makeRoom(Purpose.LISTEN)) {
                 new HostConnection(this);
             }
@@ -865,7 +864,7 @@
             duplex = new Duplex(channel, buffer, MAX_QUEUED_BYTES, this);
             duplex.start();
             pool.lifeline.connected(System.nanoTime());
-            pool.repeatAwaited = false;
+            pool.repeats.connected();
             pool.outboundTries = 0;
             while (!pool.outbound.isEmpty()) {
                 send(pool.outbound.poll());
@@ -997,6 +996,7 @@
                 abortIfSilentSince(sentAt, ABORT_AFTER); // Looked at again once those have ended.
                 return;
             }
+            pool.repeats.givenUpInSilence();
             close("silent with a cancelled set-up", duplex::abort);
             resendUnread();
             ended(Verdict.TIMEOUT, false);
@@ -1123,6 +1123,9 @@
         /** Its descriptor is free at once; what came on it is still taken. */
         private void closeUnended() {
             note(EventKind.HOST_CLOSED, "the host has not ended it");
+            if (heardAt < endingAt && System.nanoTime() - endingAt > RETIRED_GRACE) {
+                pool.repeats.givenUpInSilence();
+            }
             removeFromPool();
             duplex.closeAndTakeRest(() -> {
                 over = true;
@@ -1216,6 +1219,7 @@
             heardAt = usedAt = System.nanoTime();
             pool.heardAt = heardAt;
             pool.lifeline.heard(heardAt);
+            pool.repeats.heard(heardAt);
             if (!alive) {
                 alive();
             }
@@ -1348,7 +1352,7 @@
                 cancelRead(message.session());
             } else if (message.sequence() == SET_UP && message.status() == 200) {
                 proveBy(attempt);
-                pool.repeatAwaited = pool.followed && pool.repeatAwaited || pool.endedAt >= attempt.sentAt;
+                pool.repeats.begun(attempt.sentAt, pool.followed);
                 judge(new HeldAnswer(attempt, report, message.body()), AnswerJudge.Proof.NONE);
             } else if (message.sequence() == SET_UP) {
                 refusedAt.put(message.session(), heardAt);
--- a/src/main/java/cypressvalve/soak/ArrivedMessages.java
+++ b/src/main/java/cypressvalve/soak/ArrivedMessages.java
@@ -24,7 +24,6 @@
     private final LongSupplier delayMillis;
     private final BiConsumer<RtspMessage, Long> onArrival;
     private final Queue<Arrived> arrived = new ArrayDeque<>();
-    private volatile boolean senderEnded;
 
     /**
      * @param clock the time now, in microseconds
@@ -50,17 +49,11 @@
             } catch (IOException | NumberFormatException e) {
                 message = null;
                 ended = true;
-                senderEnded = true;
             }
             add(new Arrived(message, clock.getAsLong()));
         }
     }
 
-    /** Whether the end of the connection has come, whenever the process takes it. */
-    boolean senderEnded() {
-        return senderEnded;
-    }
-
     private synchronized void add(Arrived message) {
         arrived.add(message);
         notifyAll();
--- a/src/main/java/cypressvalve/soak/MediaHostEmulator.java
+++ b/src/main/java/cypressvalve/soak/MediaHostEmulator.java
@@ -6,8 +6,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -36,6 +38,9 @@
     private volatile AnswerMode mode = AnswerMode.NORMAL;
     private volatile long answerDelayMillis;
     private volatile long readDelayMillis;
+    private volatile boolean acceptsWhileHanging;
+    /** Ends of sessions that were due while the process hung. */
+    private final Queue<Runnable> dueEnds = new ConcurrentLinkedQueue<>();
     private volatile boolean acknowledgesCancels;
     private volatile DescriptionForm descriptions = DescriptionForm.PAGE;
     private volatile List<SpoiltForm> spoiltForms = List.of(SpoiltForm.values());
@@ -128,11 +133,22 @@
     /** How long what has come lies unread before it is taken, in milliseconds. */
     public void readDelay(long millis) {
         readDelayMillis = millis;
+        endDue();
         connections.forEach(connection -> connection.messages.delayChanged());
     }
 
     /** Takes nothing that comes, until a delay is set again; its connections stay open. */
     public void hang() {
+        hang(false);
+    }
+
+    /**
+     * The same.
+     *
+     * @param accepts whether it goes on taking connections, which are then none that are opened after it goes on
+     */
+    public void hang(boolean accepts) {
+        acceptsWhileHanging = accepts;
         readDelay(ArrivedMessages.HANGS);
     }
 
@@ -223,7 +239,7 @@
         private void start() {
             MediaHostEmulator.this.start(messages);
             MediaHostEmulator.this.start(this::serve);
-            if (!late && !cut && readDelayMillis == 0) {
+            if (!late && !cut && (readDelayMillis == 0 || acceptsWhileHanging)) {
                 gateways.find(socket, this::ownedBy); // Else with the first message that the process takes.
             }
         }
@@ -254,9 +270,10 @@
             return owner;
         }
 
+        /** As far as the process knows: the end of a connection may have come, and it writes on it until it has taken that. */
         @Override
         public boolean isOpen() {
-            return !ended && !messages.senderEnded();
+            return !ended;
         }
 
         /** Says something of its own accord, whatever the network does meanwhile. */
@@ -426,9 +443,20 @@
         }
     }
 
+    /** A process that goes on sees to what was due meanwhile first, and then to what has come. */
+    private void endDue() {
+        for (Runnable end = dueEnds.poll(); end != null; end = dueEnds.poll()) {
+            end.run();
+        }
+    }
+
     /** A process that hangs, or whose machine is cut off, ends nothing until that is over. */
     private void end(String session, SessionEnd end) {
-        if (cut || readDelayMillis == ArrivedMessages.HANGS) {
+        if (readDelayMillis == ArrivedMessages.HANGS) {
+            dueEnds.add(() -> end(session, end));
+            return;
+        }
+        if (cut) {
             ends.schedule(() -> end(session, end), RETRY_MILLIS, TimeUnit.MILLISECONDS);
             return;
         }
--- a/src/main/java/cypressvalve/soak/SoakTrial.java
+++ b/src/main/java/cypressvalve/soak/SoakTrial.java
@@ -172,7 +172,10 @@
 
     private void strike(TrialPlan.Fault fault) throws IOException, InterruptedException {
         switch (fault.kind()) {
-            case HOST_HANGS -> readLate(fault, ArrivedMessages.HANGS);
+            case HOST_HANGS -> {
+                host(fault).hang(fault.acceptsWhileHanging());
+                later(fault.lengthMillis(), () -> host(fault).readDelay(0));
+            }
             case HOST_READS_LATE -> readLate(fault, fault.amount());
             case HOST_SILENT -> answer(fault, AnswerMode.SILENT);
             case HOST_ANSWERS_LATE -> answer(fault, AnswerMode.LATE);
--- a/src/main/java/cypressvalve/soak/TrialPlan.java
+++ b/src/main/java/cypressvalve/soak/TrialPlan.java
@@ -119,7 +119,12 @@
      * @param lengthMillis how long it lasts
      * @param amount how much of it: a delay in milliseconds, or hundredths of a core
      */
-    public record Fault(int atMillis, FaultKind kind, int target, int lengthMillis, int amount) { }
+    public record Fault(int atMillis, FaultKind kind, int target, int lengthMillis, int amount) {
+        /** Whether a media host that hangs goes on taking connections, as half of them do; drawn with the time. */
+        boolean acceptsWhileHanging() {
+            return atMillis % 2 == 0;
+        }
+    }
 
     private static final Set<FaultKind> LOSING = Set.of(FaultKind.HOST_DRAINS, FaultKind.HOST_DIES, FaultKind.HOST_VANISHES,
         FaultKind.HOST_REPLACED);
--- a/src/test/java/cypressvalve/ArchitectureTest.java
+++ b/src/test/java/cypressvalve/ArchitectureTest.java
@@ -24,7 +24,7 @@
         .or().haveFullyQualifiedName("cypressvalve.load.replay.Schedule")
         .or().haveFullyQualifiedName("cypressvalve.load.replay.Match")
         .or().haveFullyQualifiedName("cypressvalve.lab.Comparison")
-        .or().haveSimpleName("Silence").or().haveSimpleName("ClockBound").or().haveSimpleName("Lifeline")
+        .or().haveSimpleName("Silence").or().haveSimpleName("ClockBound").or().haveSimpleName("Lifeline").or().haveSimpleName("EndRepeats")
         .or().haveFullyQualifiedName("cypressvalve.host.rtsp.Rtsp").or().haveFullyQualifiedName("cypressvalve.front.signal.Signal")
         .or().haveFullyQualifiedName("cypressvalve.front.signal.Wish")
         .should().dependOnClassesThat().resideInAnyPackage(IO)
--- a/src/test/java/cypressvalve/host/rtsp/SilentHostTest.java
+++ b/src/test/java/cypressvalve/host/rtsp/SilentHostTest.java
@@ -69,4 +69,21 @@
             assertEquals("ended " + SESSION + " OK", told.poll(RELEASED_WITHIN_MILLIS, TimeUnit.MILLISECONDS));
         }
     }
+
+    /** Guards against an end that is said on a connection which was reset here, and again only on the next that is opened: none was. */
+    @Test
+    void aHostThatTookConnectionsWhileItStoodStillIsGivenANewOneOnceItGoesOn() throws Exception {
+        standsStillWithASession();
+        try (Socket second = server.accept()) {
+            BufferedReader in = reader(second);
+            assertTrue(message(in).startsWith(RELEASE), "the cancel goes out again");
+            onLoop(() -> setUp("00000000000000cc"));
+            answerTest(second, in);
+            server.setSoTimeout(RELEASED_WITHIN_MILLIS);
+            try (Socket third = server.accept()) {
+                say(third, END, "");
+                assertEquals("ended " + SESSION + " OK", told.poll(RELEASED_WITHIN_MILLIS, TimeUnit.MILLISECONDS));
+            }
+        }
+    }
 }
