--- a/src/main/java/cypressvalve/front/signal/SignalFront.java
+++ b/src/main/java/cypressvalve/front/signal/SignalFront.java
@@ -99,7 +99,7 @@
     private boolean askDue;
     /** Connections are read for an attempt that is about to leave: what comes in must not keep the loop in its tasks. */
     private boolean readingForAttempt;
-    private final RecentIds usedIds = new RecentIds(USED_ID_KEPT);
+    private final UsedIds usedIds = new UsedIds(USED_ID_KEPT);
     /** Sessions that their clients have ended, of which nothing was known here. */
     private final RecentIds earlyReleases = new RecentIds(EARLY_RELEASE_KEPT);
     private final Set<ClientConnection> clients = new LinkedHashSet<>();
@@ -256,6 +256,11 @@
         return read;
     }
 
+    /** An attempt of that request has left for a media host: its id is not used again. */
+    public void attemptSent(String request) {
+        usedIds.sent(Signal.session(request), core.clock().now());
+    }
+
     /** Some of each, in turn: one that sends without end must not keep the loop from the others. */
     private void readOthers() {
         List<ClientConnection> all = List.copyOf(clients);
@@ -571,7 +576,7 @@
                 open.add(request);
                 openRequests.put(signal.id(), request);
                 invariants.received(signal.id());
-                usedIds.add(signal.session(), core.clock().now());
+                usedIds.taken(signal.session(), core.clock().now());
                 if (earlyReleases.remove(signal.session())) {
                     request.hungUp();
                     return;
@@ -590,7 +595,7 @@
                 throw new Signal.Unreadable("an id that was used");
             }
             markGood();
-            usedIds.add(signal.session(), core.clock().now());
+            usedIds.taken(signal.session(), core.clock().now());
             refuse(signal.session(), "shutdown");
         }
 
--- a/src/main/java/cypressvalve/run/PlatformNode.java
+++ b/src/main/java/cypressvalve/run/PlatformNode.java
@@ -161,6 +161,7 @@
         @Override
         public void sent(String request, long host) {
             invariants.sent(request, host);
+            front.attemptSent(request);
         }
 
         @Override
