Messages that never get whole hold a bounded part of the heap

Cause: a reader took 16 KiB by the length alone, and what all hold together grew with the descriptors. Change: readers hold what has come; all clients' together a sixteenth of the heap, past which the longest goes; media hosts' heads have 128 lines at most.

--- a/src/main/java/cypressvalve/front/signal/Signal.java
+++ b/src/main/java/cypressvalve/front/signal/Signal.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -83,7 +84,8 @@
 
     /** Messages out of bytes as they come. Holds one message at most. */
     static final class Reader {
-        private byte[] message = new byte[256];
+        private static final int USUAL_BYTES = 256;
+        private byte[] message = new byte[USUAL_BYTES];
         private int filled;
         private int length = -1;
 
@@ -92,6 +94,11 @@
             return filled > 0;
         }
 
+        /** Bytes that are held for a message which is longer than usual and not whole. */
+        int heldBytes() {
+            return message.length - USUAL_BYTES;
+        }
+
         /** The next whole message, null if more bytes are needed. */
         Signal next(ByteBuffer data) throws Unreadable {
             while (data.hasRemaining()) {
@@ -102,12 +109,10 @@
                         if (length < LEAST || length > MOST) {
                             throw new Unreadable("length " + length);
                         }
-                        if (message.length < 2 + length) {
-                            message = java.util.Arrays.copyOf(message, 2 + length);
-                        }
                     }
                 } else {
                     int n = Math.min(data.remaining(), 2 + length - filled);
+                    hold(filled + n);
                     data.get(message, filled, n);
                     filled += n;
                 }
@@ -115,8 +120,8 @@
                     Signal signal = signal(ByteBuffer.wrap(message, 2, length));
                     filled = 0;
                     length = -1;
-                    if (message.length > 1024) {
-                        message = new byte[256];
+                    if (message.length > USUAL_BYTES) {
+                        message = new byte[USUAL_BYTES];
                     }
                     return signal;
                 }
@@ -124,6 +129,13 @@
             return null;
         }
 
+        /** Room for what has come, not for what a length says: that costs its sender nothing. */
+        private void hold(int bytes) {
+            if (message.length < bytes) {
+                message = Arrays.copyOf(message, Math.min(2 + length, Math.max(bytes, 2 * message.length)));
+            }
+        }
+
         private static Signal signal(ByteBuffer in) {
             int type = in.get() & 0xff;
             long session = in.getLong();
--- a/src/main/java/cypressvalve/front/signal/SignalFront.java
+++ b/src/main/java/cypressvalve/front/signal/SignalFront.java
@@ -51,6 +51,8 @@
     /** A client's release may be read so long before the set-up or hand-over that it belongs to, on another connection. */
     private static final long EARLY_RELEASE_KEPT = 30 * SECOND;
     private static final int MAX_QUEUED_BYTES = 256 * 1024;
+    /** The part of the memory that messages of all clients may hold together which are not whole. */
+    private static final int PARTIAL_MESSAGES_PART = 16;
     /**
      * A cancel may come on any connection: all are read before an attempt leaves where they were not read for so long, half of
      * the time that the protocol allows between a client's leaving and an attempt.
@@ -85,6 +87,9 @@
     private final RequestInvariants invariants;
     /** Requests that wait for their answer, by id. */
     private final Map<String, PendingRequest> openRequests = new HashMap<>();
+    private final long maxPartialBytes = Runtime.getRuntime().maxMemory() / PARTIAL_MESSAGES_PART;
+    /** Held for messages that are not whole, of all connections. */
+    private long partialBytes;
     private long allReadAt;
     /** How many connections were read of for attempts so far: where the next look begins. */
     private int readForOthers;
@@ -388,6 +393,18 @@
         }
     }
 
+    /** Where messages that are not whole hold too much, the longest of them goes first, but for those beside open requests. */
+    private void boundPartialMessages() {
+        while (partialBytes > maxPartialBytes) {
+            ClientConnection largest = clients.stream().filter(client -> client.open.isEmpty())
+                .max(Comparator.comparingInt(client -> client.heldBytes)).filter(client -> client.heldBytes > 0).orElse(null);
+            if (largest == null) {
+                return;
+            }
+            largest.end("messages that are not whole hold too much");
+        }
+    }
+
     /** One connection and what is open on it. */
     private final class ClientConnection implements Duplex.Taker {
         private final long number = ++accepted;
@@ -401,6 +418,8 @@
         private long partialSince = since;
         private long usedAt = since;
         private long lingersSince;
+        /** Held for a message that is not whole. */
+        private int heldBytes;
         /** When it was read last for an attempt, and whether nothing was left unread then. */
         private long readAt = since;
         private boolean caughtUp = true;
@@ -462,12 +481,19 @@
 
         private void close() {
             clients.remove(this);
+            holds(0);
             duplex.close();
         }
 
+        private void holds(int bytes) {
+            partialBytes += bytes - heldBytes;
+            heldBytes = bytes;
+        }
+
         /** Ends this side; its client is to read all that was written. */
         private void linger() {
             clients.remove(this);
+            holds(0);
             lingering.add(this);
             lingersSince = core.clock().now();
             duplex.linger();
@@ -480,6 +506,7 @@
          */
         private void abandon(boolean broken) {
             clients.remove(this);
+            holds(0);
             for (PendingRequest w : List.copyOf(open)) {
                 w.hungUp();
             }
@@ -511,6 +538,10 @@
                 if (!begun && reader.within()) {
                     partialSince = core.clock().now();
                 }
+                if (duplex.takes()) {
+                    holds(reader.heldBytes());
+                    boundPartialMessages();
+                }
             } catch (Signal.Unreadable e) {
                 note(EventKind.CLIENT_CLOSED, e.getMessage());
                 abandon(false);
--- a/src/main/java/cypressvalve/host/rtsp/Rtsp.java
+++ b/src/main/java/cypressvalve/host/rtsp/Rtsp.java
@@ -92,6 +92,8 @@
     static final class Reader {
         private final ByteArrayOutputStream line = new ByteArrayOutputStream(128);
         private final List<String> head = new ArrayList<>();
+        /** Each line costs more memory than its bytes; media hosts say a handful. */
+        private static final int MAX_HEAD_LINES = 128;
         private int headBytes;
         private Rtsp pending;
         private int filled;
@@ -146,6 +148,9 @@
             }
             String text = text(line.toByteArray());
             line.reset();
+            if (head.size() == MAX_HEAD_LINES) {
+                throw new Unreadable("a head of over " + MAX_HEAD_LINES + " lines");
+            }
             if (!text.isEmpty()) {
                 head.add(text);
             } else if (!head.isEmpty()) {
--- a/src/test/java/cypressvalve/host/rtsp/RtspTest.java
+++ b/src/test/java/cypressvalve/host/rtsp/RtspTest.java
@@ -87,6 +87,13 @@
         assertThrows(Rtsp.Unreadable.class, () -> read(longer + next, 4096));
     }
 
+    /** Guards against heads of very many short fields, each of which costs many times its bytes. */
+    @Test
+    void aHeadOfVeryManyShortFieldsIsUnreadable() {
+        String head = "RTSP/1.0 200 OK\r\nCSeq: 1\r\n" + "a:\n".repeat(1_000);
+        assertThrows(Rtsp.Unreadable.class, () -> read(head, 4096));
+    }
+
     @Test
     void halfAMessageIsNone() throws Rtsp.Unreadable {
         assertEquals(List.of(), read(ANSWER.substring(0, ANSWER.length() - 1), 4096));
--- a/src/test/java/cypressvalve/soak/HostileClientsTest.java
+++ b/src/test/java/cypressvalve/soak/HostileClientsTest.java
@@ -20,6 +20,8 @@
 class HostileClientsTest extends GatewayTrial {
     /** The smallest memory that deploy/gateway.sh counts on, and the most descriptors of the platform's pages. */
     private static final int MEMORY_MEGABYTES = Integer.getInteger("memory", 128);
+    /** With so little, the JVM has the smallest heap that deploy/gateway.sh gives it; it holds more than that by itself. */
+    private static final int LEAST_MEMORY_MEGABYTES = 32;
     private static final int DESCRIPTORS = Integer.getInteger("descriptors", 1_024);
     private static final int HELD_CONNECTIONS = 500;
     private static final int PATIENCE_MILLIS = 1_000;
@@ -71,6 +73,17 @@
         }
     }
 
+    @Test
+    void hundredsOfClientsWithMessagesThatNeverGetWholeDoNotFillTheSmallestHeap() throws Exception {
+        startDeployed(4, PATIENCE_MILLIS, LEAST_MEMORY_MEGABYTES, DESCRIPTORS);
+        try (HostileClients clients = hostile()) {
+            for (int i = 0; i < HELD_CONNECTIONS; i++) {
+                clients.hold(HostileClients.Held.values()[i % HostileClients.Held.values().length]);
+            }
+            assertUsualClientsAreServed(); // The process ends itself where its heap is full.
+        }
+    }
+
     /** Guards against one client at full speed that takes the others' turn, or fills the memory. */
     @ParameterizedTest
     @EnumSource(HostileClients.Flood.class)
