soak: hostile clients, hosts that stand still for as long as the users', memory judged

Need: the pictures that operators of other deployments report, and media hosts that stand still for 7.4 to 23 s, were no faults of the soak. SoakTest plays two short seeds; memory over 192 MB breaks LIMIT.

--- a/src/main/java/cypressvalve/cli/SoakCommand.java
+++ b/src/main/java/cypressvalve/cli/SoakCommand.java
@@ -1,5 +1,6 @@
 package cypressvalve.cli;
 
+import cypressvalve.soak.HostilePlan;
 import cypressvalve.soak.SoakTrial;
 import cypressvalve.soak.TrialPlan;
 import java.io.IOException;
@@ -27,6 +28,12 @@
         description = "one seed or a range (default ${DEFAULT-VALUE})")
     private String seeds;
 
+    @Option(names = "--hostile", description = "with clients that hold connections or send at full speed")
+    private boolean hostile;
+
+    @Option(names = "--long", description = "45 s a trial, with hosts that stand still for 7.4 to 23 s and hostile clients")
+    private boolean lasting;
+
     @Spec
     private CommandSpec spec;
 
@@ -58,7 +65,9 @@
     private SoakTrial.Outcome play(long seed) throws IOException, InterruptedException {
         Path dir = Files.createTempDirectory("soak");
         try {
-            SoakTrial.Outcome outcome = SoakTrial.run(TrialPlan.draw(seed), dir);
+            TrialPlan plan = hostile || lasting ? TrialPlan.draw(seed).onAHandful() : TrialPlan.draw(seed);
+            HostilePlan beside = lasting ? HostilePlan.drawLong(plan) : hostile ? HostilePlan.drawShort(plan) : HostilePlan.NONE;
+            SoakTrial.Outcome outcome = SoakTrial.run(plan, beside, dir);
             List<String> violations = outcome.violations();
             out().println("seed " + seed + ": " + outcome.served() + " of " + outcome.requests() + " served, " + outcome.ends() + " ends, "
                 + (violations.isEmpty() ? "rules kept" : violations.size() + " violations") + "; "
--- a/src/main/java/cypressvalve/soak/GatewayProcess.java
+++ b/src/main/java/cypressvalve/soak/GatewayProcess.java
@@ -15,14 +15,14 @@
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
-import java.util.stream.Stream;
 
 /** A real gateway process ({@code serve}) of this build, with its log and the signals that the platform sends it. */
 public final class GatewayProcess implements AutoCloseable {
     private static final Pattern LISTENS = Pattern.compile("listens on /?([0-9.]+):([0-9]+)");
     private static final long START_SECONDS = 30;
     private static final List<String> JVM_OPTIONS = List.of("-Xmx96m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
-        "-Djava.net.preferIPv4Stack=true", "-Dcypressvalve.events=true");
+        "-Djava.net.preferIPv4Stack=true");
+    private static final String LOGS_EVENTS = "-Dcypressvalve.events=true";
     private static final String PEAK_MEMORY = "VmHWM:";
 
     /** Processes that must not outlive this one. */
@@ -47,7 +47,16 @@
 
     /** @param signals sends it its signals; null for one of its own */
     GatewayProcess(String name, Path config, EventRecord record, SignalSender signals) throws IOException {
-        this(name, config, record, signals, JVM_OPTIONS);
+        this(name, config, record, signals, options(true));
+    }
+
+    /** What the JVM of a trial's gateway is started with. */
+    static List<String> options(boolean logsEvents) {
+        List<String> options = new ArrayList<>(JVM_OPTIONS);
+        if (logsEvents) {
+            options.add(LOGS_EVENTS);
+        }
+        return options;
     }
 
     /** @param jvmOptions what the JVM is started with, but for the class path */
@@ -141,10 +150,12 @@
     }
 
     /** The most memory that it held so far, in kilobytes; 0 where it has ended. */
-    long peakMemoryKilobytes() throws IOException {
-        try (Stream<String> lines = Files.lines(Path.of("/proc", String.valueOf(process.pid()), "status"))) {
-            return lines.filter(line -> line.startsWith(PEAK_MEMORY))
-                .mapToLong(line -> Long.parseLong(line.replaceAll("[^0-9]", ""))).findFirst().orElse(0);
+    long peakMemoryKilobytes() {
+        try {
+            return Files.readAllLines(Path.of("/proc", String.valueOf(process.pid()), "status")).stream()
+                .filter(line -> line.startsWith(PEAK_MEMORY)).mapToLong(line -> Long.parseLong(line.replaceAll("[^0-9]", ""))).findFirst().orElse(0);
+        } catch (IOException e) {
+            return 0; // It has ended meanwhile.
         }
     }
 
--- a/src/main/java/cypressvalve/soak/GatewaySlot.java
+++ b/src/main/java/cypressvalve/soak/GatewaySlot.java
@@ -27,6 +27,7 @@
     private final CoordinatorEmulator coordinator;
     private final EventRecord record;
     private final SignalSender signals;
+    private final boolean logsEvents;
     private final List<GatewayProcess> lives = new ArrayList<>();
     private volatile GatewayProcess process;
     private volatile Target target;
@@ -34,8 +35,10 @@
     private volatile long terminatedAt = NEVER;
     private boolean closed;
 
+    /** @param logsEvents whether its processes log each event at once: too much of it comes of clients at full speed */
     GatewaySlot(int number, TrialPlan plan, Path dir, CoordinatorEmulator coordinator, EventRecord record,
-        SignalSender signals) throws IOException {
+        SignalSender signals, boolean logsEvents) throws IOException {
+        this.logsEvents = logsEvents;
         this.number = number;
         this.plan = plan;
         this.dir = dir;
@@ -52,7 +55,7 @@
         target = null;
         terminatedAt = NEVER;
         String name = "gateway-" + number + "." + lives.size();
-        process = new GatewayProcess(name, writeConfig(name), record, signals);
+        process = new GatewayProcess(name, writeConfig(name), record, signals, GatewayProcess.options(logsEvents));
         lives.add(process);
     }
 
--- a/src/main/java/cypressvalve/soak/SoakTrial.java
+++ b/src/main/java/cypressvalve/soak/SoakTrial.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -18,6 +19,7 @@
     private static final long SILENT_TOLD_MICROS = 4_000_000;
     private static final long MOVED_TOLD_MICROS = 4_000_000;
     private static final long MICROS_PER_MILLI = 1_000;
+    private static final long KILOBYTES_PER_MEGABYTE = 1_024;
     private static final int SERIES_MILLIS = 150;
     /** The period in which a process gets its part of a core. */
     private static final int CORE_PERIOD_MILLIS = 100;
@@ -48,6 +50,7 @@
     public record Outcome(TrialPlan plan, List<String> violations, long requests, long served, long ends, String lateness, boolean counts) { }
 
     private final TrialPlan plan;
+    private final HostilePlan hostile;
     private final EventRecord record = new EventRecord();
     /** The hosts that there are now, by number. */
     private final List<MediaHostEmulator> hosts = new CopyOnWriteArrayList<>();
@@ -61,13 +64,19 @@
     /** When discovery's last outage counts as over for what is told in it. */
     private long toldAtLatest = Long.MIN_VALUE;
 
-    private SoakTrial(TrialPlan plan) {
+    private SoakTrial(TrialPlan plan, HostilePlan hostile) {
         this.plan = plan;
+        this.hostile = hostile;
     }
 
     /** Plays the plan; its files go into that folder. */
     public static Outcome run(TrialPlan plan, Path dir) throws IOException, InterruptedException {
-        return new SoakTrial(plan).play(dir);
+        return run(plan, HostilePlan.NONE, dir);
+    }
+
+    /** The same, with what comes beside it. */
+    public static Outcome run(TrialPlan plan, HostilePlan hostile, Path dir) throws IOException, InterruptedException {
+        return new SoakTrial(plan, hostile).play(dir);
     }
 
     private Outcome play(Path dir) throws IOException, InterruptedException {
@@ -78,8 +87,9 @@
             lateness.awaitCalm(CALM_MILLIS);
             long begin = System.nanoTime();
             later(0, this::watchLimits);
-            List<Thread> clients = clients(begin + TimeUnit.MILLISECONDS.toNanos(TrialPlan.LENGTH_MILLIS));
-            for (TrialPlan.Fault fault : plan.faults()) {
+            List<Thread> clients = clients(begin + TimeUnit.MILLISECONDS.toNanos(hostile.lengthMillis()));
+            hostile.spells().forEach(spell -> later(spell.atMillis(), () -> play(spell)));
+            for (TrialPlan.Fault fault : faults()) {
                 TimeUnit.NANOSECONDS.sleep(begin + TimeUnit.MILLISECONDS.toNanos(fault.atMillis()) - System.nanoTime());
                 strike(fault);
             }
@@ -94,6 +104,30 @@
         }
     }
 
+    private List<TrialPlan.Fault> faults() {
+        List<TrialPlan.Fault> faults = new ArrayList<>(plan.faults());
+        faults.addAll(hostile.hangs());
+        faults.sort(Comparator.comparingInt(TrialPlan.Fault::atMillis));
+        return faults;
+    }
+
+    private void play(HostilePlan.Spell spell) throws IOException, InterruptedException {
+        GatewaySlot.Target target = gateways.get(spell.gateway()).target();
+        if (target == null) {
+            return; // It is being started anew.
+        }
+        RandomGenerator chance = RandomGeneratorFactory.of("L64X128MixRandom").create(plan.seed() + spell.atMillis());
+        try (HostileClients clients = new HostileClients(target.address(), chance)) {
+            for (int i = 0; i < spell.connections(); i++) {
+                clients.hold(spell.held());
+            }
+            if (spell.connections() == 0) {
+                clients.flood(spell.flood());
+            }
+            TimeUnit.MILLISECONDS.sleep(spell.lengthMillis());
+        }
+    }
+
     /** Sessions go on ending while this waits; what is owed in the end was over before. */
     private void awaitEnds() throws InterruptedException {
         hosts.forEach(host -> host.sessionsEnd(() -> null));
@@ -112,7 +146,7 @@
             coordinator.list(hosts.get(i), i);
         }
         for (int i = 0; i < plan.gateways(); i++) {
-            gateways.add(new GatewaySlot(i, plan, dir, coordinator, record, signals));
+            gateways.add(new GatewaySlot(i, plan, dir, coordinator, record, signals, hostile.spells().isEmpty()));
         }
         for (GatewaySlot gateway : gateways) {
             gateway.awaitListening();
@@ -143,6 +177,10 @@
                 if (held > TrialConfig.MAX_DESCRIPTORS) {
                     record.add(Event.Kind.LIMIT_EXCEEDED, process.name(), "", String.valueOf(held));
                 }
+                long megabytes = process.peakMemoryKilobytes() / KILOBYTES_PER_MEGABYTE;
+                if (megabytes > TrialConfig.MAX_MEMORY_MEGABYTES) {
+                    record.add(Event.Kind.LIMIT_EXCEEDED, process.name(), "", megabytes + " MB");
+                }
             }
             TimeUnit.MILLISECONDS.sleep(LIMITS_PERIOD_MILLIS);
         }
--- a/src/main/java/cypressvalve/soak/TrialConfig.java
+++ b/src/main/java/cypressvalve/soak/TrialConfig.java
@@ -17,6 +17,8 @@
     static final String ONCE = "b";
     /** Descriptors that a gateway may hold, as the template says. */
     static final int MAX_DESCRIPTORS = 512;
+    /** Memory that a gateway may hold, as the template says. */
+    static final int MAX_MEMORY_MEGABYTES = 192;
     private static final long NANOS_PER_MILLI = 1_000_000;
 
     private TrialConfig() {
--- a/src/main/java/cypressvalve/soak/TrialPlan.java
+++ b/src/main/java/cypressvalve/soak/TrialPlan.java
@@ -129,6 +129,10 @@
     private static final Set<FaultKind> LOSING = Set.of(FaultKind.HOST_DRAINS, FaultKind.HOST_DIES, FaultKind.HOST_VANISHES,
         FaultKind.HOST_REPLACED);
 
+    private static final Set<FaultKind> GATEWAY_FAULTS = Set.of(FaultKind.GATEWAY_RESTARTS, FaultKind.GATEWAY_KILLED,
+        FaultKind.GATEWAY_STANDS_STILL, FaultKind.GATEWAY_ON_PART_OF_A_CORE, FaultKind.ALL_ON_PART_OF_A_CORE, FaultKind.ALL_RESTART,
+        FaultKind.GATEWAY_RELOADS, FaultKind.DISCOVERY_MOVES);
+
     /** How a session ends, as drawn; null for one that plays on. */
     static SessionEnd sessionEnd(RandomGenerator chance) {
         int kind = chance.nextInt(100);
@@ -186,6 +190,15 @@
             chance.nextBoolean(), faults);
     }
 
+    /** The same on a handful of gateways at most, where the machine has other things to do, too. */
+    public TrialPlan onAHandful() {
+        int few = Math.min(gateways, MAX_HANDFUL);
+        List<Fault> onFew = faults.stream().map(fault -> GATEWAY_FAULTS.contains(fault.kind())
+            ? new Fault(fault.atMillis(), fault.kind(), fault.target() % few, fault.lengthMillis(), fault.amount()) : fault).toList();
+        return new TrialPlan(seed, deadlineMillis, aimMillis, hosts, few, Math.min(clients, MAX_HANDFUL * 2), Math.max(60, gapMillis * few / gateways),
+            mayTestHosts, acknowledgesCancels, repeatsHeardReleases, onFew);
+    }
+
     /** As many requests a second in all as the emulators keep up with, whatever the number of gateways. */
     private static int gapMillis(int gateways, boolean crowd) {
         return crowd ? Math.max(25, gateways * 5 / 2) : Math.max(60, gateways * 5);
--- a/src/test/java/cypressvalve/soak/HostileClientsTest.java
+++ b/src/test/java/cypressvalve/soak/HostileClientsTest.java
@@ -54,7 +54,7 @@
         assertTrue(record.count(Event.Kind.ANSWER_SERVED) >= REQUESTS / 2, "served " + record.count(Event.Kind.ANSWER_SERVED));
     }
 
-    private void assertWithinMemory() throws IOException {
+    private void assertWithinMemory() {
         long peak = gateway.peakMemoryKilobytes() / 1024;
         System.out.println("peak memory " + peak + " MB, served " + record.count(Event.Kind.ANSWER_SERVED) + " of " + REQUESTS);
         assertTrue(peak <= MEMORY_MEGABYTES, "peak memory " + peak + " MB");
--- a/src/test/java/cypressvalve/soak/SoakTest.java
+++ b/src/test/java/cypressvalve/soak/SoakTest.java
@@ -27,8 +27,19 @@
         assertKeepsTheRulesAndServes(528);
     }
 
+    @ParameterizedTest
+    @ValueSource(longs = {802, 805})
+    void aTrialWithHostileClientsKeepsTheRulesAndServes(long seed) throws Exception {
+        TrialPlan plan = TrialPlan.draw(seed).onAHandful();
+        assertKeepsTheRulesAndServes(seed, plan, HostilePlan.drawShort(plan));
+    }
+
     private void assertKeepsTheRulesAndServes(long seed) throws Exception {
-        SoakTrial.Outcome outcome = SoakTrial.run(TrialPlan.draw(seed), dir);
+        assertKeepsTheRulesAndServes(seed, TrialPlan.draw(seed), HostilePlan.NONE);
+    }
+
+    private void assertKeepsTheRulesAndServes(long seed, TrialPlan plan, HostilePlan hostile) throws Exception {
+        SoakTrial.Outcome outcome = SoakTrial.run(plan, hostile, dir);
         System.out.println(seed + ": " + outcome.plan().gateways() + " gateways, " + outcome.lateness());
         assertEquals("", String.join("\n", outcome.violations()));
         assertTrue(outcome.served() > 0, "served nobody");
