A media host whose first word comes late on a new connection is given one more

Cause: as it goes on the host says ends on connections of the process before, and again on the next that is opened; the new process's had come up while it stood still. EndRepeats knew of connections only that its own process had given up. Change: a first word over 0.1 s after its connection was up, where none came on another, counts as standing still; not where hosts take turns for room.

--- a/src/main/java/cypressvalve/host/rtsp/EndRepeats.java
+++ b/src/main/java/cypressvalve/host/rtsp/EndRepeats.java
@@ -2,20 +2,22 @@
 
 /**
  * When a media host is to be given a new connection, as it says ends of sessions again on the next one that is opened: after a connection
- * has ended on which it may have said something unread, and once it speaks again after connections were given up while it said nothing.
- * Such a host may not know yet what was given up, and may have taken the connections opened since before it said anything. Free of I/O
- * and of clocks; times are nanoseconds.
+ * has ended on which it may have said something unread, and once it speaks after it stood still. Such a host may not know yet which
+ * connections were given up, by this process or by the one before it, and may have taken those opened since before it said anything. Free
+ * of I/O and of clocks; times are nanoseconds.
  */
 final class EndRepeats {
     /** From a host's first word after its silence: by then it has taken note of what was given up, and said the rest elsewhere. */
     private static final long TAKES_NOTE = 300_000_000L;
-    private static final long NEVER = Long.MIN_VALUE / 2;
+    /** A connection on which a host says its first word so late may have been taken while it stood still. */
+    private static final long LATE_FIRST_WORD = 100_000_000L;
+    static final long NEVER = Long.MIN_VALUE / 2;
 
     private long endedAt = NEVER;
     /** No connection has come up since one ended. */
     private boolean awaited;
-    /** A connection was given up, and the host has said nothing since. */
-    private boolean givenUpInSilence;
+    /** The host may have stood still, and has said nothing since. */
+    private boolean silent;
     /** When the host spoke first after that; a connection is due for it. */
     private long spokeAt = NEVER;
 
@@ -27,13 +29,17 @@
 
     /** A connection on which the host said nothing was given up here. */
     void givenUpInSilence() {
-        givenUpInSilence = true;
+        silent = true;
     }
 
-    /** Something came from the host, on any connection. */
-    void heard(long now) {
-        if (givenUpInSilence) {
-            givenUpInSilence = false;
+    /**
+     * Something came from the host.
+     *
+     * @param silentSince since when it had a connection and said nothing on any; NEVER where it has spoken meanwhile
+     */
+    void heard(long now, long silentSince) {
+        if (silent || silentSince != NEVER && now - silentSince > LATE_FIRST_WORD) {
+            silent = false;
             spokeAt = now;
         }
     }
--- a/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
+++ b/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
@@ -75,7 +75,7 @@
     /** An attempt whose client has said more than is read at once is looked at again after this. */
     private static final long READ_AGAIN = 1_000_000L;
     private static final long NOT_TESTED = Long.MAX_VALUE;
-    private static final long NEVER = Long.MIN_VALUE / 2;
+    private static final long NEVER = EndRepeats.NEVER;
     /** To a host whose system takes connections and whose process shows nothing, set-ups open no more than these. */
     private static final int MAX_SILENT_CONNECTIONS = 2;
     /** A connection closed to make room, where something plays, is opened again after this: ends must be heard in time. */
@@ -1226,10 +1226,11 @@
                 discard(data.remaining());
                 return;
             }
+            boolean firstWord = pool.followed && !alive && pool.heardAt < upAt && upAt - pool.closedAt > 2 * REOPEN_AFTER;
             heardAt = usedAt = System.nanoTime();
             pool.heardAt = heardAt;
             pool.lifeline.heard(heardAt);
-            pool.repeats.heard(heardAt);
+            pool.repeats.heard(heardAt, firstWord ? upAt : EndRepeats.NEVER);
             if (!alive) {
                 alive();
             }
--- a/src/test/java/cypressvalve/host/rtsp/SilentHostTest.java
+++ b/src/test/java/cypressvalve/host/rtsp/SilentHostTest.java
@@ -70,6 +70,22 @@
         }
     }
 
+    /** Guards against an end that a host says on a connection of the gateway's process before, through whose restart it stood still. */
+    @Test
+    void aHostWhoseFirstWordComesLateIsGivenOneMoreConnection() throws Exception {
+        used = client;
+        onLoop(() -> used.follow(host, true));
+        try (Socket first = server.accept()) {
+            TimeUnit.MILLISECONDS.sleep(300); // The host's own time: it stands still, and takes the connection.
+            say(first, "RTSP/1.0 200 OK\r\nCSeq: 3\r\nSession: " + SESSION, "");
+            server.setSoTimeout(RELEASED_WITHIN_MILLIS);
+            try (Socket second = server.accept()) {
+                say(second, END, "");
+                assertEquals("ended " + SESSION + " OK", told.poll(RELEASED_WITHIN_MILLIS, TimeUnit.MILLISECONDS));
+            }
+        }
+    }
+
     /** Guards against an end that is said on a connection which was reset here, and again only on the next that is opened: none was. */
     @Test
     void aHostThatTookConnectionsWhileItStoodStillIsGivenANewOneOnceItGoesOn() throws Exception {
