--- a/src/test/java/cypressvalve/soak/GatewayTrial.java
+++ b/src/test/java/cypressvalve/soak/GatewayTrial.java
@@ -22,6 +22,7 @@
     final EventRecord record = new EventRecord();
     final List<MediaHostEmulator> hosts = new ArrayList<>();
     private final List<AutoCloseable> opened = new ArrayList<>();
+    private CoordinatorEmulator coordinator;
     GatewayProcess gateway;
     private long ids = 0x1000;
     @TempDir
@@ -33,7 +34,7 @@
     }
 
     void start(int hostCount, long aimMillis, long deadlineMillis, boolean mayTestHosts) throws Exception {
-        CoordinatorEmulator coordinator = opened(new CoordinatorEmulator());
+        coordinator = opened(new CoordinatorEmulator());
         for (int i = 0; i < hostCount; i++) {
             hosts.add(opened(new MediaHostEmulator("host-" + i, record)));
             coordinator.list(hosts.get(i), i);
@@ -45,7 +46,7 @@
 
     /** Starts a gateway as deploy/gateway.sh does where it has so much memory and so many descriptors. */
     void startDeployed(int hostCount, long deadlineMillis, int memoryMegabytes, int descriptors) throws Exception {
-        CoordinatorEmulator coordinator = opened(new CoordinatorEmulator());
+        coordinator = opened(new CoordinatorEmulator());
         for (int i = 0; i < hostCount; i++) {
             hosts.add(opened(new MediaHostEmulator("host-" + i, record)));
             coordinator.list(hosts.get(i), i);
@@ -71,6 +72,18 @@
         return words.subList(0, words.indexOf("-cp")).stream().filter(word -> !word.startsWith("-XX:SharedArchiveFile")).toList();
     }
 
+    /** Another media host's process at that port; the list does not tell of it. */
+    MediaHostEmulator openHost(String name, int port) throws IOException {
+        return opened(new MediaHostEmulator(name, record, port, false));
+    }
+
+    /** The list tells that one host has gone, and that another has its cell. */
+    void replace(MediaHostEmulator old, MediaHostEmulator fresh, int cell) throws InterruptedException {
+        coordinator.publish(old, cell, "DELETED");
+        record.add(Event.Kind.DRAIN_TOLD, old.name(), "", "");
+        coordinator.publish(fresh, cell, "SERVING", System.currentTimeMillis());
+    }
+
     private <T extends AutoCloseable> T opened(T resource) {
         opened.add(resource);
         return resource;
