--- a/src/test/java/cypressvalve/host/rtsp/LifelineTest.java
+++ b/src/test/java/cypressvalve/host/rtsp/LifelineTest.java
@@ -4,6 +4,10 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.Size;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -91,4 +95,35 @@
         assertEquals(Lifeline.Step.NOTHING, lifeline.step(2 * LOOK, false, true));
         assertEquals(Lifeline.Step.CONNECT, lifeline.step(3 * LOOK, false, false), "it was given up before it came up");
     }
+
+    /** What becomes of a try, where one is due. */
+    private enum Fate { NO_ROOM, COMES_UP, FAILS, GIVEN_UP }
+
+    /** Guards against marks that stay, whatever became of the tries before: without a connection, or one on its way, the next is due. */
+    @Property(tries = 2_000, seed = "44")
+    void withoutAConnectionATryIsAlwaysDueOrTheHostLost(@ForAll @Size(min = 1, max = 60) List<Fate> fates) {
+        Lifeline lifeline = new Lifeline(0, CONNECT_TIMEOUT);
+        long now = 0;
+        long without = 0;
+        for (Fate fate : fates) {
+            now += LOOK;
+            Lifeline.Step step = lifeline.step(now, false, false);
+            without = step == Lifeline.Step.NOTHING ? without + LOOK : 0;
+            assertTrue(without <= 2 * LOOK, "no try for " + without / MILLI + " ms");
+            if (step == Lifeline.Step.CONNECT && fate != Fate.NO_ROOM) {
+                lifeline.began(now);
+                assertEquals(Lifeline.Step.NOTHING, lifeline.step(now, false, true), "one at a time");
+                tried(lifeline, fate, now + MILLI);
+            }
+        }
+    }
+
+    /** The connection is gone again at the next look, however it went. */
+    private static void tried(Lifeline lifeline, Fate fate, long now) {
+        switch (fate) {
+            case COMES_UP -> lifeline.connected(now);
+            case FAILS -> lifeline.unreached(now);
+            default -> { } // It was closed before it came up: nothing is told.
+        }
+    }
 }
--- a/src/test/java/cypressvalve/net/DuplexTest.java
+++ b/src/test/java/cypressvalve/net/DuplexTest.java
@@ -11,12 +11,17 @@
 import java.net.Socket;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
@@ -252,6 +257,56 @@
         }
     }
 
+    /** Connections on one buffer, each of whose takers reads some of the others, in whatever order: each gets what its peer wrote. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+    void howeverReadsAreNestedEachConnectionBringsWhatItsPeerWrote(long seed) throws Exception {
+        Random chance = new Random(seed);
+        ByteBuffer shared = ByteBuffer.allocate(64);
+        int count = 4;
+        Duplex[] made = new Duplex[count];
+        StringBuilder[] got = new StringBuilder[count];
+        List<Socket> peers = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            int number = i;
+            got[i] = new StringBuilder();
+            peers.add(with(shared, data -> {
+                byte first = data.get();
+                got[number].append((char) first);
+                made[chance.nextInt(count)].readNow();
+                got[number].append(text(data));
+                made[chance.nextInt(count)].readNow();
+            }, duplex -> {
+                made[number] = duplex;
+                answers.add(true);
+            }));
+            answers.take();
+        }
+        StringBuilder[] written = new StringBuilder[count];
+        for (int i = 0; i < count; i++) {
+            written[i] = new StringBuilder();
+            for (int n = 0; n < 200; n++) {
+                written[i].append((char) ('a' + i)).append(n);
+            }
+            peers.get(i).getOutputStream().write(written[i].toString().getBytes(StandardCharsets.US_ASCII));
+        }
+        worker.getIoThread().execute(() -> {
+            for (int left = 1; left > 0; ) {
+                left = 0;
+                for (int i = 0; i < count; i++) {
+                    made[i].readNow();
+                    left += written[i].length() - got[i].length();
+                }
+            }
+            answers.add(true);
+        });
+        assertTrue(answers.take());
+        for (int i = 0; i < count; i++) {
+            assertEquals(written[i].toString(), got[i].toString());
+            peers.get(i).close();
+        }
+    }
+
     private static String text(ByteBuffer data) {
         byte[] bytes = new byte[data.remaining()];
         data.get(bytes);
