--- a/src/main/java/cypressvalve/soak/HostListener.java
+++ b/src/main/java/cypressvalve/soak/HostListener.java
@@ -10,6 +10,8 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /** Where an emulated media host takes connections, and the fault that they do not come up. */
@@ -18,7 +20,10 @@
     /** Connections over the backlog that come up before the next ones wait. */
     private static final int OVER_BACKLOG = 2;
 
+    private static final long CLOSE_MILLIS = 2_000;
+
     private final ServerSocket listener = new ServerSocket();
+    private final CountDownLatch ended = new CountDownLatch(1);
     private final Consumer<Socket> onConnection;
     private boolean unreachable;
     /** Connections that nobody takes, so that no further one comes up. */
@@ -85,6 +90,14 @@
     /** Takes connections until the listener is closed; on a thread of its own. */
     @Override
     public void run() {
+        try {
+            takeConnections();
+        } finally {
+            ended.countDown();
+        }
+    }
+
+    private void takeConnections() {
         while (!listener.isClosed()) {
             try {
                 awaitReachable();
@@ -104,8 +117,14 @@
         }
     }
 
+    /** Returns once nobody takes connections any more: until then the system holds the port, and no other host can have it. */
     void close() throws IOException {
         listener.close();
         unreachable(false);
+        try {
+            ended.await(CLOSE_MILLIS, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 }
--- a/src/test/java/cypressvalve/front/signal/SignalTest.java
+++ b/src/test/java/cypressvalve/front/signal/SignalTest.java
@@ -117,4 +117,12 @@
         assertTrue(answer.whole());
         assertArrayEquals(new byte[] {5}, answer.parameters().get(Signal.DESCRIPTION));
     }
+
+    /** Guards against clients that take memory by a length alone. */
+    @Test
+    void aReaderHoldsNoMoreThanHasCome() throws Exception {
+        Signal.Reader reader = new Signal.Reader();
+        reader.next(ByteBuffer.wrap(new byte[] {0x40, 0, 1, 2, 3}));
+        assertEquals(0, reader.heldBytes());
+    }
 }
