--- a/src/main/java/cypressvalve/cli/SoakCommand.java
+++ b/src/main/java/cypressvalve/cli/SoakCommand.java
@@ -2,6 +2,8 @@
 
 import cypressvalve.soak.HostilePlan;
 import cypressvalve.soak.SoakTrial;
+import cypressvalve.soak.StandstillPlan;
+import cypressvalve.soak.StandstillTrial;
 import cypressvalve.soak.TrialPlan;
 import java.io.IOException;
 import java.io.PrintWriter;
@@ -34,6 +36,9 @@
     @Option(names = "--long", description = "45 s a trial, with hosts that stand still for 7.4 to 23 s and hostile clients")
     private boolean lasting;
 
+    @Option(names = "--standstill", description = "hundreds of sessions at media hosts that are processes, stopped and continued")
+    private boolean standstill;
+
     @Spec
     private CommandSpec spec;
 
@@ -45,6 +50,9 @@
         }
         long from = Long.parseLong(range.group(1));
         long to = range.group(2) == null ? from : Long.parseLong(range.group(2));
+        if (standstill) {
+            return playStandstills(from, to);
+        }
         int broken = 0;
         int uncounted = 0;
         for (long seed = from; seed <= to; seed++) {
@@ -58,6 +66,36 @@
         return broken + uncounted == 0 ? 0 : 1;
     }
 
+    private int playStandstills(long from, long to) throws IOException, InterruptedException {
+        int broken = 0;
+        for (long seed = from; seed <= to; seed++) {
+            Path dir = Files.createTempDirectory("soak");
+            try {
+                StandstillTrial.Outcome outcome = StandstillTrial.run(StandstillPlan.draw(seed), dir);
+                List<String> violations = outcome.violations();
+                broken += violations.isEmpty() ? 0 : 1;
+                out().println("seed " + seed + ": " + outcome.served() + " of " + outcome.requests() + " served, " + outcome.ends() + " ends, "
+                    + (violations.isEmpty() ? "all told in time" : violations.size() + " not told in time") + "; " + outcome.plan().descriptors()
+                    + " descriptors, " + outcome.plan().streams() + " set-ups a connection, hosts may " + (outcome.plan().mayTestHosts() ? "" : "not ") + "be tested, "
+                    + outcome.plan().killed().size() + " die; "
+                    + outcome.closes());
+                violations.forEach(out()::println);
+                out().flush();
+            } finally {
+                delete(dir);
+            }
+        }
+        out().println((to - from + 1 - broken) + " passed, " + broken + " failed");
+        out().flush();
+        return broken == 0 ? 0 : 1;
+    }
+
+    private static void delete(Path dir) throws IOException {
+        try (Stream<Path> files = Files.walk(dir)) {
+            files.sorted(Comparator.reverseOrder()).forEach(file -> file.toFile().delete());
+        }
+    }
+
     private PrintWriter out() {
         return spec.commandLine().getOut();
     }
@@ -77,9 +115,7 @@
             out().flush();
             return outcome;
         } finally {
-            try (Stream<Path> files = Files.walk(dir)) {
-                files.sorted(Comparator.reverseOrder()).forEach(file -> file.toFile().delete());
-            }
+            delete(dir);
         }
     }
 }
--- a/src/main/java/cypressvalve/soak/CoordinatorEmulator.java
+++ b/src/main/java/cypressvalve/soak/CoordinatorEmulator.java
@@ -98,7 +98,12 @@
 
     /** Lists a media host from the start on. */
     public synchronized void list(MediaHostEmulator host, int cell) {
-        instances.put(host.name(), instance(host, cell, "SERVING", 0));
+        list(host.name(), host.address(), cell);
+    }
+
+    /** The same for one that is a process of its own. */
+    synchronized void list(String name, InetSocketAddress address, int cell) {
+        instances.put(name, instance(name, address, cell, "SERVING", 0));
     }
 
     /**
@@ -110,10 +115,16 @@
     }
 
     /** @param startedAtMillis Unix time of its start, where it started late; else 0 */
-    synchronized void publish(MediaHostEmulator host, int cell, String state, long startedAtMillis) throws InterruptedException {
-        ObjectNode instance = instance(host, cell, state, startedAtMillis);
+    void publish(MediaHostEmulator host, int cell, String state, long startedAtMillis) throws InterruptedException {
+        publish(host.name(), host.address(), cell, state, startedAtMillis);
+    }
+
+    /** The same for one that is a process of its own. */
+    synchronized void publish(String name, InetSocketAddress address, int cell, String state, long startedAtMillis)
+        throws InterruptedException {
+        ObjectNode instance = instance(name, address, cell, state, startedAtMillis);
         int index = index() + 1;
-        instances.put(host.name(), instance);
+        instances.put(name, instance);
         events.add("id: " + index + "\ndata: {\"index\":" + index + ",\"endpoints\":{\"generation\":" + index
             + ",\"reset\":false,\"instances\":[" + instance + "]}}\n\n");
         notifyAll();
@@ -146,9 +157,9 @@
         return known;
     }
 
-    private static ObjectNode instance(MediaHostEmulator host, int cell, String state, long startedAtMillis) {
-        return JsonNodeFactory.instance.objectNode().put("instanceId", host.name())
-            .put("hostPort", host.address().getAddress().getHostAddress() + ":" + host.address().getPort()).put("zone", "z")
+    private static ObjectNode instance(String name, InetSocketAddress address, int cell, String state, long startedAtMillis) {
+        return JsonNodeFactory.instance.objectNode().put("instanceId", name)
+            .put("hostPort", address.getAddress().getHostAddress() + ":" + address.getPort()).put("zone", "z")
             .put("machineType", "std").put("cell", cell).put("lifecycle", state).put("weight", 1)
             .put("startedAtMs", startedAtMillis);
     }
--- a/src/main/java/cypressvalve/soak/EventRecord.java
+++ b/src/main/java/cypressvalve/soak/EventRecord.java
@@ -19,7 +19,12 @@
 
     /** Microseconds since this record was begun. */
     public long now() {
-        return (System.nanoTime() - start) / NANOS_PER_MICRO;
+        return atNanos(System.nanoTime());
+    }
+
+    /** The same at that time of System.nanoTime(), which all processes of a machine share. */
+    long atNanos(long nanoTime) {
+        return (nanoTime - start) / NANOS_PER_MICRO;
     }
 
     /** Adds what happens now. */
--- a/src/main/java/cypressvalve/soak/GatewayProcess.java
+++ b/src/main/java/cypressvalve/soak/GatewayProcess.java
@@ -9,8 +9,6 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
@@ -25,13 +23,6 @@
     private static final String LOGS_EVENTS = "-Dcypressvalve.events=true";
     private static final String PEAK_MEMORY = "VmHWM:";
 
-    /** Processes that must not outlive this one. */
-    private static final Set<Process> STARTED = ConcurrentHashMap.newKeySet();
-
-    static {
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> STARTED.forEach(Process::destroyForcibly)));
-    }
-
     private final String name;
     private final EventRecord record;
     private final Process process;
@@ -69,12 +60,10 @@
         command.addAll(List.of("-cp", System.getProperty("java.class.path"), "cypressvalve.Main", "serve"));
         ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
         builder.environment().put("NODE_CONFIG", config.toString());
-        process = builder.start();
-        STARTED.add(process);
+        process = ChildProcesses.start(builder);
         Thread reader = new Thread(this::readLog, "log of " + name);
         reader.setDaemon(true);
         reader.start();
-        process.onExit().thenAccept(STARTED::remove);
         process.onExit().thenAccept(p -> record.add(Event.Kind.PROCESS_ENDED, name, "", String.valueOf(p.exitValue())));
     }
 
--- /dev/null
+++ b/src/main/java/cypressvalve/soak/StandstillPlan.java
@@ -0,0 +1,82 @@
+package cypressvalve.soak;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+
+/**
+ * A trial of one gateway whose media hosts are processes that are stopped and go on, drawn from one seed. Ranges are the pages', or what a
+ * trial has time for; none follows from a constant of the gateway.
+ *
+ * @param descriptors that the gateway may hold
+ * @param streams set-ups that one connection to a media host carries at once
+ * @param stops of media hosts, several at a time, in order of time
+ * @param crowdsAtMillis when a crowd of clients comes
+ * @param killed numbers of the hosts that die
+ * @param killedAtMillis when
+ */
+public record StandstillPlan(long seed, int descriptors, int streams, boolean mayTestHosts, int hosts, List<Stop> stops,
+    List<Integer> crowdsAtMillis, List<Integer> killed, int killedAtMillis) {
+    /** How long clients send. */
+    static final int LENGTH_MILLIS = 22_000;
+    /** The list tells so much later that hosts have gone. */
+    static final int GONE_TOLD_MILLIS = 4_500;
+    static final int CROWD = 200;
+    static final int CROWD_MILLIS = 400;
+    private static final int HOSTS = 13;
+    private static final int STOPPED_AT_A_TIME = 3;
+    private static final int KILLED = 2;
+    private static final int FIRST_STOP_MILLIS = 3_000;
+    private static final int MIN_STOP_MILLIS = 150;
+    /** The users' least standstill of a media host. */
+    private static final int MAX_STOP_MILLIS = 7_400;
+    private static final int MIN_GAP_MILLIS = 100;
+    private static final int MAX_GAP_MILLIS = 1_500;
+    private static final int FIRST_CROWD_MILLIS = 3_500;
+    private static final int MIN_CROWD_GAP_MILLIS = 2_000;
+    private static final int MAX_CROWD_GAP_MILLIS = 5_000;
+    private static final int MIN_KILL_MILLIS = 8_000;
+    private static final int MAX_KILL_MILLIS = 15_000;
+    /** Clients whose sessions were lost come again as a crowd. */
+    private static final int COME_AGAIN_MILLIS = 1_000;
+    /** The platform gives a gateway 256 to 1,024. */
+    private static final int[] DESCRIPTORS = {256, 256, 320, 512, 1_024};
+    private static final int[] STREAMS = {2, 4, 8, 32};
+
+    /** A media host stands still. */
+    record Stop(int atMillis, int host, int lengthMillis) { }
+
+    /** The plan of a seed. */
+    public static StandstillPlan draw(long seed) {
+        RandomGenerator chance = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
+        int descriptors = DESCRIPTORS[chance.nextInt(DESCRIPTORS.length)];
+        int streams = STREAMS[chance.nextInt(STREAMS.length)];
+        boolean mayTestHosts = chance.nextInt(3) > 0;
+        List<Integer> killed = new ArrayList<>();
+        int dying = chance.nextInt(4) > 0 ? KILLED : 0;
+        for (int i = 0; i < dying; i++) {
+            killed.add(i);
+        }
+        List<Stop> stops = new ArrayList<>();
+        for (int at = FIRST_STOP_MILLIS; at < LENGTH_MILLIS; ) {
+            int longest = 0;
+            for (int i = 0; i < STOPPED_AT_A_TIME; i++) {
+                int length = chance.nextInt(MIN_STOP_MILLIS, MAX_STOP_MILLIS);
+                longest = Math.max(longest, length);
+                int host = KILLED + i + STOPPED_AT_A_TIME * chance.nextInt((HOSTS - KILLED) / STOPPED_AT_A_TIME);
+                stops.add(new Stop(at, host, length));
+            }
+            at += longest + chance.nextInt(MIN_GAP_MILLIS, MAX_GAP_MILLIS);
+        }
+        List<Integer> crowds = new ArrayList<>();
+        for (int at = FIRST_CROWD_MILLIS; at < LENGTH_MILLIS; at += chance.nextInt(MIN_CROWD_GAP_MILLIS, MAX_CROWD_GAP_MILLIS)) {
+            crowds.add(at);
+        }
+        int killedAt = chance.nextInt(MIN_KILL_MILLIS, MAX_KILL_MILLIS);
+        if (dying > 0) {
+            crowds.add(killedAt + COME_AGAIN_MILLIS);
+        }
+        return new StandstillPlan(seed, descriptors, streams, mayTestHosts, HOSTS, stops, crowds, killed, killedAt);
+    }
+}
