Connections to hosts with sessions are held until the host has ended them, too

What callers saw: sessions that were over at their media host, whose release the host had written, were never told to their clients, or 1.06 to 3.2 s late. Cause: a connection was closed here though its host, which stood still or was busy, had not ended it: for room in a crowd, more than eight at a time, or 1 s after it was half-closed. Hosts say an end on what they take for open, and again on the next one that they take; both were closed. Tens of connections that waited in one stopped host's queue were opened and closed within seconds: a word of the host on another connection passed for a sign that it had read them. Change: such connections are only half-closed, read on and held until the host has ended them; they count against room past eight. For room, those that the host's process may not have taken go last; closed unended are those of hosts without sessions, of hosts that run and keep their side, and for a host with sessions and no connection at all the oldest that was taken. Set-ups open no more than 8 connections to a host that takes none, 2 after half a connect timeout. A connection lost with unread words is replaced at once. ConnectionLife, CloseReason, UnreadMessages and ConnectionBudget own how connections are given up, why, and what is owed; the log counts closes by reason.

--- /dev/null
+++ b/src/main/java/cypressvalve/host/rtsp/CloseReason.java
@@ -0,0 +1,40 @@
+package cypressvalve.host.rtsp;
+
+/** Why a connection to a media host is given up. */
+enum CloseReason {
+    /** It was refused, or not up in time. */
+    NEVER_UP("never came up"),
+    /** The host ended it, or reset it. */
+    BY_HOST("by the host"),
+    /** The host reads too little of it. */
+    WRITE_QUEUE_FULL("more waits for the host than may"),
+    /** Another host's connection needs its place. */
+    ROOM("room for another host"),
+    /** It has carried nothing for long. */
+    IDLE("idle"),
+    /** It was of no more use. */
+    RETIRED("retired"),
+    /** The decisions give back what is idle. */
+    UNWANTED("no longer wanted"),
+    /** Its host is listed at another address now. */
+    ADDRESS_REPLACED("address replaced"),
+    /** A set-up that was cancelled must not begin, and the host has shown no life since. */
+    CANCEL_UNREAD("silent with a cancelled set-up"),
+    /** This side has ended its stream, the host has not. */
+    NOT_ENDED_BY_HOST("the host has not ended it"),
+    /** What came on it can't be read. */
+    UNREADABLE("unreadable"),
+    /** The same, and its end is not awaited any more. */
+    UNREADABLE_FOR_LONG("unreadable, and its end is not awaited any more");
+
+    private final String text;
+
+    CloseReason(String text) {
+        this.text = text;
+    }
+
+    @Override
+    public String toString() {
+        return text;
+    }
+}
--- a/src/main/java/cypressvalve/host/rtsp/EndRepeats.java
+++ b/src/main/java/cypressvalve/host/rtsp/EndRepeats.java
@@ -11,6 +11,8 @@
     private static final long TAKES_NOTE = 300_000_000L;
     /** A connection on which a host says its first word so late may have been taken while it stood still. */
     private static final long LATE_FIRST_WORD = 100_000_000L;
+    /** Where the last connection went for another host's, the next is opened after this: ends must be heard in time. */
+    private static final long REOPEN_AFTER = 3_000_000_000L;
     static final long NEVER = Long.MIN_VALUE / 2;
 
     private long endedAt = NEVER;
@@ -20,6 +22,8 @@
     private boolean silent;
     /** When the host spoke first after that; a connection is due for it. */
     private long spokeAt = NEVER;
+    /** When a connection was given up to make room for another host's. */
+    private long closedForRoomAt = NEVER;
 
     /** A connection that was up has ended: what the host said on it last may be lost. */
     void ended(long now) {
@@ -54,7 +58,22 @@
         awaited = others && awaited || endedAt >= sentAt;
     }
 
-    /** Whether a connection is awaited since one ended. */
+    /** A connection was given up to make room for another host's. */
+    void closedForRoom(long now) {
+        closedForRoomAt = now;
+    }
+
+    /** Whether that was so shortly before that another connection would take the place again at once. */
+    boolean isClosedForRoom(long now) {
+        return now - closedForRoomAt < REOPEN_AFTER;
+    }
+
+    /** Whether connections had stayed for long when one came up. */
+    boolean isLongOpenSince(long upAt) {
+        return upAt - closedForRoomAt > 2 * REOPEN_AFTER;
+    }
+
+    /** Whether one is to be opened now, as one has ended on which the host may have said something unread. */
     boolean awaited() {
         return awaited;
     }
--- a/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
+++ b/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
@@ -18,6 +18,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -50,7 +51,7 @@
     private static final int OUTBOUND_TRIES = 4;
     private static final long SWEEP_MS = 250;
     /** A connection of no use is still read for so long after its last byte: what ended is said on it. */
-    private static final long RETIRED_GRACE = 1_000_000_000L;
+    private static final long RETIRED_GRACE = ConnectionBudget.END_TIMEOUT;
     /** Part of the hosts' idle time after which we close first: a set-up must not cross their close. */
     private static final double IDLE_SHARE = 0.7;
     /** An attempt's late or second answer is known by its connection for so long: longer than hosts are told to wait. */
@@ -68,18 +69,17 @@
      * for 0.1 s. Where hosts may not be tested, silence says little: only if nothing else is open on it.
      */
     private static final long ABORT_AFTER = 70_000_000L;
-    /** Connections whose end by the host is awaited, beyond those that may be held: the oldest of more is closed at once. */
-    public static final int MAX_ENDING = 8;
+    /** Connections whose end by the host is awaited, beyond those that may be held. */
+    public static final int MAX_ENDING = ConnectionBudget.MAX_ENDING;
     /** A connection whose host has not answered its first attempt is taken after all others. */
     private static final int AWAITS_LIFE_LOAD = 1_000;
     /** An attempt whose client has said more than is read at once is looked at again after this. */
     private static final long READ_AGAIN = 1_000_000L;
-    private static final long NOT_TESTED = Long.MAX_VALUE;
     private static final long NEVER = EndRepeats.NEVER;
-    /** To a host whose system takes connections and whose process shows nothing, set-ups open no more than these. */
+    /** To a host that carries sessions, and whose process has taken none of so many connections for a while, set-ups open no more. */
     private static final int MAX_SILENT_CONNECTIONS = 2;
-    /** A connection closed to make room, where something plays, is opened again after this: ends must be heard in time. */
-    private static final long REOPEN_AFTER = 3_000_000_000L;
+    /** The same, however short the while: a host that lives takes some of so many in a crowd. */
+    private static final int MAX_UNACCEPTED_CONNECTIONS = 8;
     /** Where something plays, a connection that came up is kept for so long: its host says on it what ended without one. */
     private static final long LISTENED_AT_LEAST = 250_000_000L;
 
@@ -89,7 +89,6 @@
     private final ByteBuffer buffer;
     private final long idle;
     private final int streams;
-    private final int maxConnections;
     private final EventLog events;
     private final AttemptGuard guard;
     /** Whether hosts may be tested, which they have to answer. */
@@ -102,10 +101,9 @@
     private long sweptAt = System.nanoTime();
     /** Connections begun so far; numbers them in the event log. */
     private long begun;
-    /** Connections held to all hosts, those that are not up yet counted. */
-    private int heldConnections;
-    /** Of those, the ones whose end by the host is awaited, the oldest first. */
-    private final Set<HostConnection> endingConnections = new LinkedHashSet<>();
+    private final ConnectionBudget<HostConnection> budget;
+    /** Closes by reason since they were told last. */
+    private final Map<CloseReason, Integer> closes = new EnumMap<>(CloseReason.class);
     /** By host, as long as it has connections or is followed. */
     private final Map<Long, ConnectionPool> pools = new LinkedHashMap<>();
     private long probes;
@@ -127,7 +125,7 @@
         this.limits = limits;
         this.idle = idle;
         this.streams = Math.max(1, streams);
-        this.maxConnections = maxConnections;
+        budget = new ConnectionBudget<>(maxConnections);
         this.buffer = buffer;
         this.notes = notes;
         this.events = events;
@@ -158,39 +156,40 @@
     }
 
     private void readAll() {
-        pools.values().stream().flatMap(pool -> pool.connections.stream()).filter(connection -> connection.up).toList()
+        pools.values().stream().flatMap(pool -> pool.connections.stream()).filter(connection -> connection.life.hasComeUp()).toList()
             .forEach(connection -> connection.duplex.readNow());
     }
 
     /** Connections held to all hosts. */
     public int connections() {
-        return heldConnections;
+        return budget.held();
     }
 
-    /** What a connection is wanted for where there is room for no more. */
-    private enum Purpose {
-        /** Something is to be sent now. */
-        SEND,
-        /** The host may have something to say. */
-        LISTEN
+    /** For the log: how many may be held, and why connections were given up since this was asked for last. */
+    public String connectionsLine() {
+        String line = "of " + budget.maxConnections() + " closes " + closes;
+        closes.clear();
+        return line;
     }
 
-    /** Whether one more connection may be held; for it the longest idle one is closed, first where nothing plays. */
-    private boolean makeRoom(Purpose purpose) {
-        if (heldConnections - endingConnections.size() < maxConnections) {
+    /** Whether one more connection may be held; for it the longest idle one is given up, first where nothing plays. */
+    private boolean makeRoom(ConnectionBudget.Purpose purpose) {
+        if (budget.hasRoom()) {
             return true;
         }
-        HostConnection least = pools.values().stream().flatMap(p -> p.connections.stream())
-            .filter(connection -> connection.mayMakeRoom() && (purpose == Purpose.SEND || connection.listenedLongEnough()))
-            .min(Comparator.comparing((HostConnection connection) -> connection.pool.followed)
-                .thenComparing(connection -> !connection.listenedLongEnough())
-                .thenComparing(HostConnection::mayHoldUnsaidEnds)
-                .thenComparingLong(connection -> connection.usedAt)).orElse(null);
-        if (least != null) {
-            least.end("room for another host");
-            least.pool.closedAt = System.nanoTime();
-        }
-        return least != null;
+        if (!budget.mayEndOneMore()) {
+            Optional<HostConnection> closable = budget.closable(purpose, System.nanoTime());
+            closable.ifPresent(HostConnection::closeUnended);
+            if (closable.isEmpty() || budget.hasRoom()) {
+                return closable.isPresent();
+            }
+        }
+        Optional<HostConnection> least = budget.leastNeeded(purpose);
+        least.ifPresent(connection -> {
+            connection.end(CloseReason.ROOM);
+            connection.pool.repeats.closedForRoom(System.nanoTime());
+        });
+        return least.isPresent();
     }
 
     private ConnectionPool pool(HostAddress host) {
@@ -278,7 +277,7 @@
         ConnectionPool pool = pools.get(host.id());
         if (pool != null) {
             List.copyOf(pool.connections).stream().filter(HostConnection::unused).skip(pool.followed ? 1 : 0)
-                .forEach(connection -> connection.end("no longer wanted"));
+                .forEach(connection -> connection.end(CloseReason.UNWANTED));
         }
     }
 
@@ -322,16 +321,11 @@
     }
 
     /**
-     * Something for a session at its host that wants no answer.
+     * A test or probe on its way.
      *
-     * @param ends whether it ends the session: a host that never reads it would hold the session on
-     */
-    private record OutboundMessage(String session, byte[] bytes, boolean ends) { }
-
-    /**
      * @param position its place among what was written to the connection
      */
-    private record UnacknowledgedMessage(OutboundMessage message, long position) { }
+    private record SentTest(long position, long sentAt) { }
 
     /** An answer that is passed on once what follows it has shown it to be whole. */
     private record HeldAnswer(Attempt attempt, LoadReport report, byte[] description) { }
@@ -447,7 +441,7 @@
 
         /** An answer that has come but waits unread is no time-out: it is read first. */
         private void timeUp() {
-            if (connection != null && connection.up) {
+            if (connection != null && connection.life.hasComeUp()) {
                 connection.duplex.readNow();
             }
             if (!open()) {
@@ -455,14 +449,16 @@
             }
             if (clientUnread && sent == null) {
                 cameBack(Verdict.NOT_SENT, LoadReport.NONE); // The host has nothing to do with it.
-            } else if (sent == null && connection != null && connection.up) {
+            } else if (sent == null && connection != null && connection.life.hasComeUp()) {
                 result.givenUp(Verdict.TIMEOUT); // The host is there, and shows nothing: it need not have started anew.
                 cameBack(Verdict.NOT_SENT, LoadReport.NONE);
             } else if (sent == null) {
                 cameBack(Verdict.NO_CONNECTION, LoadReport.NONE);
             } else if (stop()) {
                 // A connection on which the host said nothing since is of no use.
-                connection.retired |= connection.heardAt < until - order.maxWait();
+                if (connection.life.silentSince(until - order.maxWait())) {
+                    connection.life.retire();
+                }
                 cancelled(Verdict.TIMEOUT);
             } else {
                 cameBack(Verdict.NOT_SENT, LoadReport.NONE);
@@ -561,7 +557,7 @@
 
         /** An answer that has come but waits unread is no time-out. */
         private void timeUp() {
-            boolean up = connection != null && connection.up;
+            boolean up = connection != null && connection.life.hasComeUp();
             if (up) {
                 connection.duplex.readNow();
             }
@@ -589,8 +585,6 @@
         /** The list says so: a connection to its address might reach another. */
         private boolean gone;
         private long goneAt;
-        /** When a connection of it was closed to make room for another host's. */
-        private long closedAt = Long.MIN_VALUE / 2;
         private Lifeline lifeline = new Lifeline(System.nanoTime(), limits.connectTimeout());
         /** When something came from the host last, on any connection. */
         private long heardAt = NEVER;
@@ -624,21 +618,37 @@
             if (best == null) {
                 best = silentConnection();
             }
-            boolean more = best == null || best.load() > 0 && usedConnections() < limits.mostIdle();
-            return more && makeRoom(Purpose.SEND) ? new HostConnection(this) : best;
+            boolean more = best == null ? mayComeAlive() : best.load() > 0 && usedConnections() < limits.mostIdle();
+            return more && makeRoom(ConnectionBudget.Purpose.SEND) ? new HostConnection(this) : best;
+        }
+
+        /** Whether one more connection may find the host's process: where it carries sessions, each that it has not taken is kept for their ends. */
+        private boolean mayComeAlive() {
+            List<HostConnection> unaccepted = connections.stream().filter(connection -> !connection.life.isAccepted()).toList();
+            if (!carriesSessions() || unaccepted.size() < MAX_SILENT_CONNECTIONS) {
+                return true;
+            }
+            long now = System.nanoTime();
+            boolean waitedInVain = unaccepted.stream().anyMatch(connection -> connection.mayHoldUnsaidEnds()
+                && now - connection.life.upAt() > limits.connectTimeout() / 2);
+            return !waitedInVain && unaccepted.size() < MAX_UNACCEPTED_CONNECTIONS;
+        }
+
+        private boolean carriesSessions() {
+            return followed && !gone;
         }
 
         /** The last of those that wait for the host's process, once there are enough: one more would only wait behind them. */
         private HostConnection silentConnection() {
             List<HostConnection> silent = connections.stream()
-                .filter(connection -> connection.up && !connection.alive && connection.mayHoldUnsaidEnds()).toList();
+                .filter(connection -> !connection.life.isAccepted() && connection.mayHoldUnsaidEnds()).toList();
             HostConnection last = silent.size() < MAX_SILENT_CONNECTIONS ? null : silent.get(silent.size() - 1);
-            return last != null && !last.retired && !last.over && last.attempts.size() < streams ? last : null;
+            return last != null && last.takesMore() && last.attempts.size() < streams ? last : null;
         }
 
         private HostConnection open() {
             for (HostConnection connection : connections) {
-                if (connection.up && !connection.retired) {
+                if (connection.life.hasComeUp() && !connection.life.isRetired()) {
                     return connection;
                 }
             }
@@ -648,17 +658,17 @@
         /** Says something that wants no answer on any connection, as soon as there is one; the connection, if it is known. */
         private HostConnection send(OutboundMessage message) {
             HostConnection connection = open();
-            if (connection == null && gone && message.ends) {
+            if (connection == null && gone && message.ends()) {
                 return successor().map(pool -> pool.send(message)).orElse(null);
             }
             if (connection != null) {
                 connection.send(message);
             } else if (outbound.size() < MAX_OUTBOUND && !gone) {
                 outbound.add(message);
-                if (connections.stream().allMatch(candidate -> candidate.retired) && makeRoom(Purpose.SEND)) {
+                if (connections.stream().allMatch(candidate -> candidate.life.isRetired()) && makeRoom(ConnectionBudget.Purpose.SEND)) {
                     new HostConnection(this);
                 }
-                connection = connections.stream().filter(candidate -> !candidate.up).findFirst().orElse(null);
+                connection = connections.stream().filter(candidate -> !candidate.life.hasComeUp()).findFirst().orElse(null);
             }
             return connection;
         }
@@ -671,7 +681,7 @@
 
         /** What ends sessions at a host that is out of reach is tried again a few times, ever later. */
         private void retryOutbound() {
-            outbound.removeIf(message -> !message.ends);
+            outbound.removeIf(message -> !message.ends());
             if (outbound.isEmpty() || gone || outboundTries >= OUTBOUND_TRIES) {
                 outbound.clear();
                 outboundTries = 0;
@@ -682,11 +692,17 @@
 
         /** Once the next try is due; the sweep looks for it. */
         private void openForOutbound() {
-            if (System.nanoTime() >= outboundRetryAt && makeRoom(Purpose.SEND)) {
+            if (System.nanoTime() >= outboundRetryAt && makeRoom(ConnectionBudget.Purpose.SEND)) {
                 new HostConnection(this);
             }
         }
 
+        /** The host has answered what was written then: its process has seen to what had come by then on all connections. */
+        private void answered(long sentAt) {
+            long now = System.nanoTime();
+            connections.forEach(connection -> connection.life.hostRan(sentAt, now));
+        }
+
         /** One that was up has ended: what the host said on it last may be lost. */
         private void connectionEnded() {
             repeats.ended(System.nanoTime());
@@ -697,37 +713,37 @@
         private void reopen() {
             if (followed && gone) {
                 checkLiveness();
-            } else if (followed && repeats.dueAfterSilence(System.nanoTime()) && makeRoom(Purpose.LISTEN)) {
+            } else if (followed && repeats.dueAfterSilence(System.nanoTime()) && makeRoom(ConnectionBudget.Purpose.LISTEN)) {
                 repeats.begunAfterSilence();
                 new HostConnection(this);
-            } else if (followed && repeats.awaited() && System.nanoTime() - closedAt >= REOPEN_AFTER
-                && usedConnections() < limits.mostIdle() && connections.stream().allMatch(candidate -> candidate.up) && makeRoom(Purpose.LISTEN)) {
+            } else if (followed && repeats.awaited() && connections.stream().allMatch(candidate -> candidate.life.hasComeUp())
+                && makeRoom(ConnectionBudget.Purpose.LISTEN)) {
                 new HostConnection(this);
             }
         }
 
         private long usedConnections() {
-            return connections.stream().filter(connection -> !connection.retired).count();
+            return connections.stream().filter(connection -> !connection.life.isRetired()).count();
         }
 
         private void checkLiveness() {
             long now = System.nanoTime();
             HostConnection connection = open();
             if (connection == null && gone) {
-                connection = connections.stream().filter(candidate -> candidate.up).findFirst().orElse(null);
+                connection = connections.stream().filter(candidate -> candidate.life.hasComeUp()).findFirst().orElse(null);
             }
             if (gone && now - goneAt >= GONE_GRACE) {
                 lost();
                 return;
             }
-            if (connection == null && now - closedAt < REOPEN_AFTER) {
+            if (connection == null && repeats.isClosedForRoom(now)) {
                 return;
             }
-            switch (lifeline.step(now, connection != null, connections.stream().anyMatch(candidate -> !candidate.up))) {
+            switch (lifeline.step(now, connection != null, connections.stream().anyMatch(candidate -> !candidate.life.hasComeUp()))) {
                 case CONNECT -> {
                     if (gone) {
                         lost(); // Whoever answers at its address now is another.
-                    } else if (makeRoom(Purpose.LISTEN)) {
+                    } else if (makeRoom(connections.isEmpty() ? ConnectionBudget.Purpose.REACH : ConnectionBudget.Purpose.LISTEN)) {
                         new HostConnection(this);
                     }
                 }
@@ -753,25 +769,18 @@
             if (followed) {
                 checkLiveness();
                 reopen();
-            } else if (!outbound.isEmpty() && connections.stream().allMatch(connection -> connection.retired)) {
+            } else if (!outbound.isEmpty() && connections.stream().allMatch(connection -> connection.life.isRetired())) {
                 openForOutbound();
             }
             for (HostConnection connection : List.copyOf(connections)) {
                 connection.cancelledAt.values().removeIf(at -> now - at > LATE_ANSWER_WINDOW);
-                connection.unreadCancels.keySet().retainAll(connection.cancelledAt.keySet());
+                connection.unread.keepCancelsOf(connection.cancelledAt.keySet());
                 connection.refusedAt.values().removeIf(at -> now - at > LATE_ANSWER_WINDOW);
                 connection.ambiguous.values().removeIf(at -> now - at > LATE_ANSWER_WINDOW);
                 if (connection.mayHoldUnsaidEnds()) {
                     continue;
                 }
-                connection.retired |= connection.up && !connection.mayComeAlive(2 * limits.connectTimeout());
-                boolean spare = connection.retired ? now - connection.usedAt > RETIRED_GRACE : !followed && now - connection.usedAt > idle * IDLE_SHARE;
-                if (connection.up && connection.unused() && spare) {
-                    connection.end(connection.retired ? "retired" : "idle");
-                }
-                if (connection.ending && now - connection.endingAt > RETIRED_GRACE) {
-                    connection.closeUnended();
-                }
+                connection.endIfOfNoUse(now);
             }
             if (connections.isEmpty()) {
                 replaced.remove(this);
@@ -784,13 +793,13 @@
         private void retire() {
             followed = false;
             replaced.add(this);
-            connections.forEach(connection -> connection.retired = true);
-            List.copyOf(connections).stream().filter(HostConnection::unused).forEach(connection -> connection.end("address replaced"));
+            connections.forEach(connection -> connection.life.retire());
+            List.copyOf(connections).stream().filter(HostConnection::unused).forEach(connection -> connection.end(CloseReason.ADDRESS_REPLACED));
         }
     }
 
     /** One connection to a media host. */
-    private final class HostConnection implements Duplex.Taker {
+    private final class HostConnection implements Duplex.Taker, ConnectionBudget.Held {
         private final ConnectionPool pool;
         private final long number = ++begun;
         private final Map<String, Attempt> attempts = new LinkedHashMap<>();
@@ -800,51 +809,31 @@
         /** Answers of attempts that are open, each until what follows shows it to be whole. */
         private final Map<String, HeldAnswer> held = new LinkedHashMap<>();
         private final CancelProofs<Attempt> proofs = new CancelProofs<>();
-        /** Tests and probes by id, with their positions: each is answered once the host has read what stands before it. */
-        private final Map<String, Long> tests = new HashMap<>();
+        /** Tests and probes by id: each is answered once the host has read what stands before it. */
+        private final Map<String, SentTest> tests = new HashMap<>();
         private boolean proofDue;
-        /** Nothing that comes can be read any more; only its end is awaited. */
-        private boolean discarding;
         private int discarded;
         /** Set-ups given up on this connection, and when: an answer may still come. */
         private final Map<String, Long> cancelledAt = new HashMap<>();
-        /** Cancels that the host has not shown to have read, with their positions. */
-        private final Map<String, Long> unreadCancels = new HashMap<>();
+        private final UnreadMessages unread = new UnreadMessages();
         /** Set-ups that were answered here, but not to play, and when: the answer may come again. */
         private final Map<String, Long> refusedAt = new HashMap<>();
         /** Set-ups that play by an answer that may have been the one to a cancelled attempt before, and since when. */
         private final Map<String, Long> ambiguous = new HashMap<>();
-        /** What ended sessions and left last: if the connection breaks, it may not have been read. */
-        private final ArrayDeque<UnacknowledgedMessage> unacknowledged = new ArrayDeque<>();
         private final List<byte[]> waiting = new ArrayList<>();
         private final Rtsp.Reader reader = new Rtsp.Reader();
         private final IoFuture<StreamConnection> connecting;
         private final Timer timer;
         private Duplex duplex;
-        private boolean up;
-        /** Something came from the host on it: one that is up may only be taken by the host's system, not by its process. */
-        private boolean alive;
-        private long lifeTestedAt = NOT_TESTED;
+        private final ConnectionLife life = new ConnectionLife(System.nanoTime());
         /** An attempt was sent on it. */
         private boolean carriedAttempt;
-        private boolean over;
-        /** Nothing new goes out on it. */
-        private boolean retired;
-        /** This side has ended its stream: what the host says until it ends its own is still read. */
-        private boolean ending;
-        /** This side has ended its stream, behind which the host ends its own. */
-        private boolean endedWrites;
-        private long endingAt;
-        private final long begunAt = System.nanoTime();
-        private long usedAt = begunAt;
-        private long upAt = NEVER;
-        private long heardAt = NEVER;
 
         private HostConnection(ConnectionPool pool) {
             this.pool = pool;
             pool.connections.add(this);
-            heldConnections++;
-            pool.lifeline.began(begunAt);
+            budget.opened(this);
+            pool.lifeline.began(System.nanoTime());
             note(EventKind.HOST_CONNECTING, null);
             connecting = thread.openStreamConnection(
                 new InetSocketAddress(pool.address.host(), pool.address.port()), this::opened,
@@ -859,13 +848,12 @@
 
         private void opened(StreamConnection channel) {
             timer.cancel();
-            if (over || closed) {
+            if (life.isClosed() || closed) {
                 IoUtils.safeClose(channel);
                 return;
             }
-            up = true;
-            upAt = System.nanoTime();
-            pool.connectedAt = upAt;
+            life.cameUp(System.nanoTime());
+            pool.connectedAt = life.upAt();
             note(EventKind.HOST_CONNECTED, null);
             duplex = new Duplex(channel, buffer, MAX_QUEUED_BYTES, this);
             duplex.start();
@@ -889,35 +877,34 @@
         private void testLife() {
             if (!mayTest) {
                 testLifeByAttempt();
-            } else if (lifeTestedAt == NOT_TESTED) {
-                lifeTestedAt = System.nanoTime();
+            } else if (!life.isLifeTested()) {
+                life.lifeTested(System.nanoTime());
                 sendProbe(null, "ping");
             }
         }
 
         private void testLifeByAttempt() {
-            if (!mayTest && up && !alive && !carriedAttempt && !attempts.isEmpty()) {
+            if (!mayTest && life.hasComeUp() && !life.isAccepted() && !carriedAttempt && !attempts.isEmpty()) {
                 sendInNextTurn(attempts.values().iterator().next());
             }
         }
 
         /** Whether an attempt was sent to see whether the host shows life, which it has not. */
         private boolean awaitsLife() {
-            return !mayTest && !alive && carriedAttempt;
+            return !mayTest && !life.isAccepted() && carriedAttempt;
         }
 
         /** The host has shown that it reads the connection: attempts may leave. */
         private void alive() {
-            alive = true;
             List.copyOf(attempts.values()).forEach(this::sendInNextTurn);
         }
 
         private void unreached() {
-            if (up || over) {
+            if (life.hasComeUp() || life.isClosed()) {
                 return;
             }
-            over = true;
-            note(EventKind.HOST_CLOSED, "never came up");
+            life.close();
+            noteClosed(CloseReason.NEVER_UP);
             timer.cancel();
             connecting.cancel();
             removeFromPool();
@@ -925,27 +912,41 @@
             ended(Verdict.NO_CONNECTION, false);
             if (pool.followed) {
                 pool.checkLiveness();
-            } else if (pool.connections.stream().allMatch(connection -> connection.retired)) {
+            } else if (pool.connections.stream().allMatch(connection -> connection.life.isRetired())) {
                 pool.retryOutbound();
             }
         }
 
         private boolean usable() {
-            return !retired && !over && attempts.size() < streams && mayComeAlive(limits.connectTimeout() / 2);
+            return takesMore() && attempts.size() < streams && life.mayComeAlive(limits.connectTimeout() / 2, System.nanoTime());
         }
 
-        /** Whether it shows life, or has not been waited for in vain for so long. */
-        private boolean mayComeAlive(long nanos) {
-            long now = System.nanoTime();
-            return alive || up && lifeTestedAt == NOT_TESTED || now - (up ? lifeTestedAt : begunAt) < nanos;
+        private boolean takesMore() {
+            return !life.isRetired() && !life.isClosed();
+        }
+
+        @Override
+        public ConnectionLife life() {
+            return life;
+        }
+
+        @Override
+        public boolean hostCarriesSessions() {
+            return pool.carriesSessions();
         }
 
         /**
          * Whether the host, which carries sessions, has said nothing on any connection since this one was up and heard last. Its process
          * may stand still and say on this one, once it goes on, what ended meanwhile: it does not know what this side gave up.
          */
-        private boolean mayHoldUnsaidEnds() {
-            return up && !over && pool.followed && !pool.gone && pool.heardAt <= Math.max(upAt, heardAt);
+        @Override
+        public boolean mayHoldUnsaidEnds() {
+            return life.hasComeUp() && !life.isClosed() && pool.carriesSessions() && pool.heardAt <= life.reachedAt();
+        }
+
+        @Override
+        public boolean hostHasUnended() {
+            return pool.connections.stream().anyMatch(connection -> connection.life.isGivenUp());
         }
 
         private int load() {
@@ -956,23 +957,25 @@
             return attempts.isEmpty() && probes.isEmpty() && !proofs.waiting();
         }
 
-        /** Whether it may be closed for another host's connection. */
-        private boolean mayMakeRoom() {
-            return up && unused() && !ending && duplex.flushed();
+        @Override
+        public boolean mayMakeRoom() {
+            return life.hasComeUp() && unused() && !life.isGivenUp() && duplex.flushed();
         }
 
-        /** Whether its host has said what it had to say on a new connection, or had the time for it. */
-        private boolean listenedLongEnough() {
-            return !pool.followed || alive || System.nanoTime() - upAt >= LISTENED_AT_LEAST;
+        @Override
+        public boolean listenedLongEnough() {
+            return !pool.followed || life.isAccepted() || System.nanoTime() - life.upAt() >= LISTENED_AT_LEAST;
         }
 
         private boolean writable() {
-            return !over && (duplex == null || duplex.isOpen());
+            return !life.isClosed() && (duplex == null || duplex.isOpen());
         }
 
         /** Behind the cancels of this turn goes what the host has to answer or to end. */
         private void proveLater() {
-            retired |= !mayTest;
+            if (!mayTest) {
+                life.retire();
+            }
             if (!proofDue) {
                 proofDue = true;
                 thread.execute(this::prove);
@@ -981,7 +984,7 @@
 
         private void prove() {
             proofDue = false;
-            if (proofs.waiting() && writable() && up && mayTest) {
+            if (proofs.waiting() && writable() && life.hasComeUp() && mayTest) {
                 sendProbe(null, "ping");
             }
             endWritesIfOfNoUse();
@@ -992,10 +995,10 @@
         }
 
         private void abortIfStillSilentSince(long sentAt) {
-            if (!over && !closed) {
+            if (!life.isClosed() && !closed) {
                 duplex.readNow();
             }
-            if (over || closed || heardAt >= sentAt) {
+            if (life.isClosed() || closed || !life.silentSince(sentAt)) {
                 return;
             }
             if (!mayTest && attempts.values().stream().anyMatch(attempt -> attempt.sent != null)) {
@@ -1003,7 +1006,7 @@
                 return;
             }
             pool.repeats.givenUpInSilence();
-            close("silent with a cancelled set-up", duplex::abort);
+            close(CloseReason.CANCEL_UNREAD, duplex::abort);
             resendUnread();
             ended(Verdict.TIMEOUT, false);
             pool.connectionEnded();
@@ -1012,17 +1015,18 @@
         /** The host ends a connection whose stream has ended, once it has read it: that is proof, too. */
         private void endWritesIfOfNoUse() {
             boolean nothingOpen = held.size() == attempts.size() && probes.isEmpty();
-            if (retired && up && !over && nothingOpen && (proofs.waiting() || !held.isEmpty()) && !proofDue) {
-                endedWrites = true;
+            boolean awaitsProof = proofs.waiting() || !held.isEmpty();
+            if (life.isRetired() && life.hasComeUp() && !life.isClosed() && nothingOpen && awaitsProof && !proofDue) {
+                life.halfClose();
                 duplex.endWrites();
             }
         }
 
         private void add(Attempt attempt) {
             attempts.put(attempt.order.playback(), attempt);
-            if (alive) {
+            if (life.isAccepted()) {
                 sendInNextTurn(attempt);
-            } else if (up) {
+            } else if (life.hasComeUp()) {
                 testLife();
             }
         }
@@ -1033,7 +1037,7 @@
          */
         private void sendInNextTurn(Attempt attempt) {
             thread.execute(() -> {
-                if (attempt.state == AttemptState.WAITING && !over && !closed) {
+                if (attempt.state == AttemptState.WAITING && !life.isClosed() && !closed) {
                     sendIfAllowed(attempt);
                 }
             });
@@ -1072,8 +1076,8 @@
             if (probe != null) {
                 probes.put(id, probe);
             }
-            tests.put(id, proofs.written());
-            if (up) {
+            tests.put(id, new SentTest(proofs.written(), System.nanoTime()));
+            if (life.hasComeUp()) {
                 write(message);
             } else {
                 waiting.add(message);
@@ -1083,19 +1087,16 @@
         private void cancel(Attempt attempt) {
             String id = attempt.order.playback();
             cancelledAt.put(id, System.nanoTime());
-            unreadCancels.put(id, proofs.cancelled(attempt));
+            unread.cancelled(id, proofs.cancelled(attempt));
             write(teardown(id, held.containsKey(id) ? NORMAL_CLEARING : -1));
             events.record(EventKind.ATTEMPT_CANCELLED, id, number, pool.address.id(), duplex.flushed() ? null : "queued");
         }
 
         private void send(OutboundMessage message) {
-            if (message.ends) {
-                unacknowledged.add(new UnacknowledgedMessage(message, proofs.written()));
-                if (unacknowledged.size() > MAX_OUTBOUND) {
-                    unacknowledged.poll();
-                }
+            if (message.ends()) {
+                unread.ending(message, proofs.written());
             }
-            write(message.bytes);
+            write(message.bytes());
         }
 
         private void sendOnAny(OutboundMessage message) {
@@ -1107,38 +1108,51 @@
         }
 
         private void removeFromPool() {
-            if (pool.connections.remove(this)) {
-                heldConnections--;
-                endingConnections.remove(this);
+            if (budget.closed(this)) {
+                pool.connections.remove(this);
             }
         }
 
-        /** Ends an unused connection from this side; one that is not up yet is given up. */
-        private void end(String why) {
-            if (!up) {
-                close(why);
-            } else if (!ending) {
+        /** Looks whether it is of use still; where not, it is given up. */
+        private void endIfOfNoUse(long now) {
+            if (mayHoldUnsaidEnds()) {
+                return;
+            }
+            if (life.hasComeUp() && !life.mayComeAlive(2 * limits.connectTimeout(), now)) {
+                life.retire();
+            }
+            long unusedFor = now - life.usedAt();
+            boolean spare = life.isRetired() ? unusedFor > RETIRED_GRACE : !pool.followed && unusedFor > idle * IDLE_SHARE;
+            if (life.hasComeUp() && unused() && spare) {
+                end(life.isRetired() ? CloseReason.RETIRED : CloseReason.IDLE);
+            }
+            if (life.givenUpFor(RETIRED_GRACE, now) && !pool.carriesSessions()) {
+                closeUnended();
+            }
+        }
+
+        /** Gives up an unused connection: it is read until its host has ended it, too. One that is not up yet is closed. */
+        private void end(CloseReason why) {
+            if (!life.hasComeUp()) {
+                close(why, this::closeChannel);
+            } else if (!life.isGivenUp()) {
+                closes.merge(why, 1, Integer::sum);
                 note(EventKind.HOST_CLOSING, why);
-                ending = true;
-                endingAt = System.nanoTime();
-                retired = true;
+                life.giveUp(System.nanoTime());
                 duplex.endWrites();
-                endingConnections.add(this);
-                if (endingConnections.size() > MAX_ENDING) {
-                    endingConnections.stream().min(Comparator.comparing(HostConnection::mayHoldUnsaidEnds)).orElseThrow().closeUnended();
-                }
+                budget.givenUp(this);
             }
         }
 
         /** Its descriptor is free at once; what came on it is still taken. */
         private void closeUnended() {
-            note(EventKind.HOST_CLOSED, "the host has not ended it");
-            if (heardAt < endingAt && System.nanoTime() - endingAt > RETIRED_GRACE) {
+            noteClosed(CloseReason.NOT_ENDED_BY_HOST);
+            if (life.givenUpInSilenceFor(RETIRED_GRACE, System.nanoTime())) {
                 pool.repeats.givenUpInSilence();
             }
             removeFromPool();
             duplex.closeAndTakeRest(() -> {
-                over = true;
+                life.close();
                 resendUnread();
                 if (!duplex.endedByPeer() || duplex.resetByPeer()) {
                     pool.connectionEnded();
@@ -1152,26 +1166,24 @@
          * it then go out on that connection, behind its end.
          */
         private void resendUnread() {
-            unacknowledged.forEach(unread -> pool.send(unread.message));
-            unacknowledged.clear();
-            unreadCancels.keySet().forEach(id -> {
-                if (pool.connections.stream().noneMatch(connection -> connection.attempts.containsKey(id))) {
-                    HostConnection connection = pool.send(released(id));
+            unread.takeEndings().forEach(pool::send);
+            for (String session : unread.takeCancels()) {
+                if (pool.connections.stream().noneMatch(connection -> connection.attempts.containsKey(session))) {
+                    HostConnection connection = pool.send(released(session));
                     if (connection != null) {
-                        connection.cancelledAt.put(id, System.nanoTime());
+                        connection.cancelledAt.put(session, System.nanoTime());
                     }
                 }
-            });
-            unreadCancels.clear();
+            }
         }
 
         private void write(byte[] message) {
-            usedAt = System.nanoTime();
+            life.used(System.nanoTime());
             duplex.write(message);
         }
 
         private void closeChannel() {
-            over = true;
+            life.close();
             if (duplex != null) {
                 duplex.close();
             } else {
@@ -1179,18 +1191,19 @@
             }
         }
 
-        private void close(String why) {
-            close(why, this::closeChannel);
+        private void close(CloseReason why, Runnable how) {
+            noteClosed(why);
+            life.close();
+            how.run();
+            removeFromPool();
         }
 
-        private void close(String why, Runnable how) {
+        private void noteClosed(CloseReason why) {
+            closes.merge(why, 1, Integer::sum);
             note(EventKind.HOST_CLOSED, why);
-            over = true;
-            how.run();
-            removeFromPool();
         }
 
-        private void note(EventKind kind, String detail) {
+        private void note(EventKind kind, Object detail) {
             events.record(kind, null, number, pool.address.id(), detail);
         }
 
@@ -1209,34 +1222,35 @@
 
         @Override
         public void closed() {
-            over = true;
-            note(EventKind.HOST_CLOSED, duplex.endedByPeer() ? "by the host" : "more waits for the host than may");
-            removeFromPool();
-            judgeHeldAtEnd();
+            boolean lost = life.mayHaveLostWords(duplex.endedByPeer(), duplex.resetByPeer());
+            ConnectionLife.State before = life.state();
+            close(duplex.endedByPeer() ? CloseReason.BY_HOST : CloseReason.WRITE_QUEUE_FULL, () -> { });
+            judgeHeldAtEnd(before);
             resendUnread();
             ended(Verdict.BROKEN, duplex.endedByPeer());
-            if (!ending || duplex.resetByPeer()) {
-                pool.connectionEnded(); // Of one that the host ended behind this side all that it said was read.
+            if (lost) {
+                pool.connectionEnded();
             }
         }
 
         @Override
         public void bytes(ByteBuffer data) {
-            if (discarding) {
+            if (life.state() == ConnectionLife.State.DISCARDING) {
                 discard(data.remaining());
                 return;
             }
-            boolean firstWord = pool.followed && !alive && pool.heardAt < upAt && upAt - pool.closedAt > 2 * REOPEN_AFTER;
-            heardAt = usedAt = System.nanoTime();
-            pool.heardAt = heardAt;
-            pool.lifeline.heard(heardAt);
-            pool.repeats.heard(heardAt, firstWord ? upAt : EndRepeats.NEVER);
-            if (!alive) {
+            boolean first = !life.isAccepted();
+            boolean firstWord = pool.followed && first && pool.heardAt < life.upAt() && pool.repeats.isLongOpenSince(life.upAt());
+            life.heard(System.nanoTime());
+            pool.heardAt = life.heardAt();
+            pool.lifeline.heard(pool.heardAt);
+            pool.repeats.heard(pool.heardAt, firstWord ? life.upAt() : NEVER);
+            if (first) {
                 alive();
             }
             try {
                 Rtsp message = reader.next(data);
-                while (message != null && !over) {
+                while (message != null && !life.isClosed()) {
                     take(message);
                     message = reader.next(data);
                 }
@@ -1247,16 +1261,15 @@
 
         /** Nothing more is said on it; attempts that were open are over once the host has ended it, too. */
         private void unreadable(String why) {
-            retired = true;
-            discarding = true;
+            life.discard();
             List.copyOf(held.values()).forEach(answer -> answer.attempt.answerRefused(Verdict.BROKEN));
             resendUnread();
             ended(Verdict.BROKEN, false);
+            note(EventKind.HOST_UNREADABLE, why);
             if (proofs.waiting()) {
-                note(EventKind.HOST_UNREADABLE, why);
                 duplex.endWrites();
             } else {
-                close(why);
+                close(CloseReason.UNREADABLE, this::closeChannel);
             }
             pool.connectionEnded();
         }
@@ -1264,7 +1277,7 @@
         private void discard(int bytes) {
             discarded += bytes;
             if (discarded > MAX_DISCARDED_BYTES || !proofs.waiting()) {
-                close("unreadable, and its end is not awaited any more");
+                close(CloseReason.UNREADABLE_FOR_LONG, this::closeChannel);
             }
         }
 
@@ -1299,7 +1312,7 @@
             String session = attempt.order.playback();
             attempt.finish(Verdict.OK);
             if (cancelledAt.remove(session) != null) { // A second copy must not end what plays.
-                ambiguous.put(session, heardAt);
+                ambiguous.put(session, life.heardAt());
             }
             attempt.result.started(answer.report, answer.description);
         }
@@ -1310,17 +1323,17 @@
             held.put(attempt.order.playback(), answer);
             events.record(EventKind.ANSWER_HELD, attempt.order.playback(), number, pool.address.id(), null);
             if (!mayTest) {
-                retired = true;
+                life.retire();
             }
             thread.execute(() -> proveHeld(answer));
         }
 
         /** What has come by now is read first: a test behind the host's own close would reset the connection. */
         private void proveHeld(HeldAnswer answer) {
-            if (!over && !closed) {
+            if (!life.isClosed() && !closed) {
                 duplex.readNow();
             }
-            boolean awaited = !over && !closed && held.get(answer.attempt.order.playback()) == answer;
+            boolean awaited = !life.isClosed() && !closed && held.get(answer.attempt.order.playback()) == answer;
             if (awaited && mayTest && writable()) {
                 sendProbe(null, "ping");
             } else if (awaited) {
@@ -1329,9 +1342,10 @@
         }
 
         /** Sessions of those that are not accepted may stand, and are ended on another connection. */
-        private void judgeHeldAtEnd() {
-            boolean inOrder = duplex.endedByPeer() && !duplex.resetByPeer() && !reader.within() && !discarding;
-            AnswerJudge.Proof proof = endedWrites ? AnswerJudge.Proof.FOLLOWED : AnswerJudge.Proof.CLOSED_BEHIND;
+        private void judgeHeldAtEnd(ConnectionLife.State before) {
+            boolean inOrder = duplex.endedByPeer() && !duplex.resetByPeer() && !reader.within()
+                && before != ConnectionLife.State.DISCARDING;
+            AnswerJudge.Proof proof = before == ConnectionLife.State.HALF_CLOSED ? AnswerJudge.Proof.FOLLOWED : AnswerJudge.Proof.CLOSED_BEHIND;
             for (HeldAnswer answer : List.copyOf(held.values())) {
                 String session = answer.attempt.order.playback();
                 if (inOrder && judge.judge(answer.attempt.order.description(), answer.description, proof).decision()
@@ -1339,7 +1353,7 @@
                     accept(answer);
                 } else {
                     events.record(EventKind.ANSWER_REJECTED, session, number, pool.address.id(), "its connection has ended");
-                    unreadCancels.put(session, proofs.written());
+                    unread.cancelled(session, proofs.written());
                 }
             }
         }
@@ -1349,9 +1363,10 @@
             Probe probe = probes.get(message.session());
             Attempt attempt = attempts.get(message.session());
             if (message.sequence() == OPTIONS) {
-                Long position = tests.remove(message.session());
-                if (position != null) {
-                    provenRead(position);
+                SentTest test = tests.remove(message.session());
+                if (test != null) {
+                    provenRead(test.position);
+                    pool.answered(test.sentAt);
                 }
                 if (probe != null) {
                     probe.done(message.status() == 200 ? Verdict.OK : Verdict.ERROR, report);
@@ -1359,14 +1374,14 @@
             } else if (message.sequence() == SET_UP && attempt == null) {
                 answeredLate(message);
             } else if (message.sequence() == TEARDOWN) {
-                unacknowledged.removeIf(w -> w.message.session.equals(message.session()));
+                unread.acknowledged(message.session());
                 cancelRead(message.session());
             } else if (message.sequence() == SET_UP && message.status() == 200) {
                 proveBy(attempt);
                 pool.repeats.begun(attempt.sentAt, pool.followed);
                 judge(new HeldAnswer(attempt, report, message.body()), AnswerJudge.Proof.NONE);
             } else if (message.sequence() == SET_UP) {
-                refusedAt.put(message.session(), heardAt);
+                refusedAt.put(message.session(), life.heardAt());
                 if (cancelledAt.containsKey(message.session())) {
                     attempt.answerRefused(Verdict.ERROR); // It may be the late answer to the attempt before, which proves nothing of this one.
                     return;
@@ -1385,13 +1400,13 @@
         private void proveBy(Attempt attempt) {
             if (!cancelledAt.containsKey(attempt.order.playback())) {
                 provenRead(attempt.position);
+                pool.answered(attempt.sentAt);
             }
         }
 
         /** The host has read what was written up to that position. */
         private void provenRead(long position) {
-            unacknowledged.removeIf(message -> message.position < position);
-            unreadCancels.values().removeIf(cancel -> cancel < position);
+            unread.readUpTo(position);
             proofs.answered(position).forEach(Attempt::provenOver);
         }
 
@@ -1400,13 +1415,13 @@
             String session = message.session();
             if (message.status() == 200) {
                 if (cancelledAt.remove(session) != null) {
-                    refusedAt.put(session, heardAt);
+                    refusedAt.put(session, life.heardAt());
                     sendOnAny(released(session));
                 }
                 return;
             }
             if (cancelledAt.remove(session) != null) {
-                refusedAt.put(session, heardAt);
+                refusedAt.put(session, life.heardAt());
             }
             if (ambiguous.remove(session) != null) {
                 // The answer that it plays was the one to the attempt before: this refuses the attempt that counted as playing.
--- a/src/main/java/cypressvalve/run/PlatformNode.java
+++ b/src/main/java/cypressvalve/run/PlatformNode.java
@@ -232,7 +232,7 @@
             if (++sweeps % COUNTS_EVERY == 0) {
                 log.accept("playing " + core.held(Session.State.PLAYING) + " opening " + core.held(Session.State.OPENING)
                     + " viewers' connections " + front.connections() + " hosts' " + client.connections() + " "
-                    + counts.line() + " invariants violated " + invariants.counts());
+                    + client.connectionsLine() + " " + counts.line() + " invariants violated " + invariants.counts());
             }
             sweepLater();
         }, SWEEP_MS, TimeUnit.MILLISECONDS);
--- a/src/main/java/cypressvalve/soak/StandstillPlan.java
+++ b/src/main/java/cypressvalve/soak/StandstillPlan.java
@@ -42,7 +42,7 @@
     private static final int COME_AGAIN_MILLIS = 1_000;
     /** The platform gives a gateway 256 to 1,024. */
     private static final int[] DESCRIPTORS = {256, 256, 320, 512, 1_024};
-    private static final int[] STREAMS = {2, 4, 8, 32};
+    private static final int[] STREAMS = {2, 1, 4, 32};
 
     /** A media host stands still. */
     record Stop(int atMillis, int host, int lengthMillis) { }
