--- a/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
+++ b/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
@@ -15,7 +15,6 @@
 import cypressvalve.net.Timer;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.EnumMap;
@@ -44,18 +43,11 @@
     private static final int NORMAL_CLEARING = 16;
     private static final int WITHDRAWN = 31;
     private static final int MAX_QUEUED_BYTES = 256 * 1024;
-    /** Messages for a host that wait for a connection: more than it can carry sessions. */
-    private static final int MAX_OUTBOUND = 512;
-    /** From a connection that did not come up to the next, for such messages alone; doubled each time. */
-    private static final long OUTBOUND_RETRY = 1_000_000_000L;
-    private static final int OUTBOUND_TRIES = 4;
     private static final long SWEEP_MS = 250;
     /** A connection of no use is still read for so long after its last byte: what ended is said on it. */
     private static final long RETIRED_GRACE = ConnectionBudget.END_TIMEOUT;
     /** Part of the hosts' idle time after which we close first: a set-up must not cross their close. */
     private static final double IDLE_SHARE = 0.7;
-    /** An attempt's late or second answer is known by its connection for so long: longer than hosts are told to wait. */
-    private static final long LATE_ANSWER_WINDOW = 30_000_000_000L;
     /**
      * A host that the list says has gone gets so long for its last words; then what it carried is over, whoever answers at
      * its address: a connection opened between its death and the list's word of it may have reached another.
@@ -580,7 +572,7 @@
     private final class ConnectionPool {
         private final HostAddress address;
         private final List<HostConnection> connections = new ArrayList<>();
-        private final ArrayDeque<OutboundMessage> outbound = new ArrayDeque<>();
+        private final OutboundQueue outbound = new OutboundQueue();
         private boolean followed;
         /** The list says so: a connection to its address might reach another. */
         private boolean gone;
@@ -591,9 +583,6 @@
         /** When a connection came up last. */
         private long connectedAt = NEVER;
         private final EndRepeats repeats = new EndRepeats();
-        /** How often a connection was tried for what waits alone. */
-        private int outboundTries;
-        private long outboundRetryAt = Long.MIN_VALUE / 2;
 
         private ConnectionPool(HostAddress address) {
             this.address = address;
@@ -607,10 +596,10 @@
         private HostConnection pick(String id) {
             HostConnection best = null;
             for (HostConnection connection : connections) {
-                if (connection.writable() && connection.cancelledAt.containsKey(id)) {
+                if (connection.writable() && connection.history.mayAnswerCancelled(id)) {
                     return connection;
                 }
-                boolean usable = connection.usable() && !connection.refusedAt.containsKey(id);
+                boolean usable = connection.usable() && !connection.history.mayRefuseAgain(id);
                 if (usable && (best == null || connection.load() < best.load())) {
                     best = connection;
                 }
@@ -663,8 +652,7 @@
             }
             if (connection != null) {
                 connection.send(message);
-            } else if (outbound.size() < MAX_OUTBOUND && !gone) {
-                outbound.add(message);
+            } else if (!gone && outbound.add(message)) {
                 if (connections.stream().allMatch(candidate -> candidate.life.isRetired()) && makeRoom(ConnectionBudget.Purpose.SEND)) {
                     new HostConnection(this);
                 }
@@ -679,24 +667,6 @@
                 && pool.address.host().equals(address.host())).findFirst();
         }
 
-        /** What ends sessions at a host that is out of reach is tried again a few times, ever later. */
-        private void retryOutbound() {
-            outbound.removeIf(message -> !message.ends());
-            if (outbound.isEmpty() || gone || outboundTries >= OUTBOUND_TRIES) {
-                outbound.clear();
-                outboundTries = 0;
-                return;
-            }
-            outboundRetryAt = System.nanoTime() + (OUTBOUND_RETRY << outboundTries++);
-        }
-
-        /** Once the next try is due; the sweep looks for it. */
-        private void openForOutbound() {
-            if (System.nanoTime() >= outboundRetryAt && makeRoom(ConnectionBudget.Purpose.SEND)) {
-                new HostConnection(this);
-            }
-        }
-
         /** The host has answered what was written then: its process has seen to what had come by then on all connections. */
         private void answered(long sentAt) {
             long now = System.nanoTime();
@@ -758,7 +728,7 @@
 
         private void lost() {
             followed = false;
-            outbound.clear();
+            outbound.drop();
             lifeline = new Lifeline(System.nanoTime(), limits.connectTimeout());
             events.record(EventKind.HOST_LOST, null, EventLog.NONE, address.id(), gone ? "gone from the list" : "unreachable");
             notes.lost(address.id());
@@ -769,17 +739,13 @@
             if (followed) {
                 checkLiveness();
                 reopen();
-            } else if (!outbound.isEmpty() && connections.stream().allMatch(connection -> connection.life.isRetired())) {
-                openForOutbound();
+            } else if (outbound.retryDue(now) && connections.stream().allMatch(connection -> connection.life.isRetired())
+                && makeRoom(ConnectionBudget.Purpose.SEND)) {
+                new HostConnection(this);
             }
             for (HostConnection connection : List.copyOf(connections)) {
-                connection.cancelledAt.values().removeIf(at -> now - at > LATE_ANSWER_WINDOW);
-                connection.unread.keepCancelsOf(connection.cancelledAt.keySet());
-                connection.refusedAt.values().removeIf(at -> now - at > LATE_ANSWER_WINDOW);
-                connection.ambiguous.values().removeIf(at -> now - at > LATE_ANSWER_WINDOW);
-                if (connection.mayHoldUnsaidEnds()) {
-                    continue;
-                }
+                connection.history.expire(now);
+                connection.unread.keepCancelsOf(connection.history.cancelledSessions());
                 connection.endIfOfNoUse(now);
             }
             if (connections.isEmpty()) {
@@ -813,13 +779,8 @@
         private final Map<String, SentTest> tests = new HashMap<>();
         private boolean proofDue;
         private int discarded;
-        /** Set-ups given up on this connection, and when: an answer may still come. */
-        private final Map<String, Long> cancelledAt = new HashMap<>();
+        private final AnswerHistory history = new AnswerHistory();
         private final UnreadMessages unread = new UnreadMessages();
-        /** Set-ups that were answered here, but not to play, and when: the answer may come again. */
-        private final Map<String, Long> refusedAt = new HashMap<>();
-        /** Set-ups that play by an answer that may have been the one to a cancelled attempt before, and since when. */
-        private final Map<String, Long> ambiguous = new HashMap<>();
         private final List<byte[]> waiting = new ArrayList<>();
         private final Rtsp.Reader reader = new Rtsp.Reader();
         private final IoFuture<StreamConnection> connecting;
@@ -859,7 +820,7 @@
             duplex.start();
             pool.lifeline.connected(System.nanoTime());
             pool.repeats.connected();
-            pool.outboundTries = 0;
+            pool.outbound.connected();
             while (!pool.outbound.isEmpty()) {
                 send(pool.outbound.poll());
             }
@@ -913,7 +874,11 @@
             if (pool.followed) {
                 pool.checkLiveness();
             } else if (pool.connections.stream().allMatch(connection -> connection.life.isRetired())) {
-                pool.retryOutbound();
+                if (pool.gone) {
+                    pool.outbound.drop();
+                } else {
+                    pool.outbound.unreached(System.nanoTime());
+                }
             }
         }
 
@@ -1086,7 +1051,7 @@
 
         private void cancel(Attempt attempt) {
             String id = attempt.order.playback();
-            cancelledAt.put(id, System.nanoTime());
+            history.cancelled(id, System.nanoTime());
             unread.cancelled(id, proofs.cancelled(attempt));
             write(teardown(id, held.containsKey(id) ? NORMAL_CLEARING : -1));
             events.record(EventKind.ATTEMPT_CANCELLED, id, number, pool.address.id(), duplex.flushed() ? null : "queued");
@@ -1171,7 +1136,7 @@
                 if (pool.connections.stream().noneMatch(connection -> connection.attempts.containsKey(session))) {
                     HostConnection connection = pool.send(released(session));
                     if (connection != null) {
-                        connection.cancelledAt.put(session, System.nanoTime());
+                        connection.history.cancelled(session, System.nanoTime());
                     }
                 }
             }
@@ -1311,8 +1276,8 @@
             Attempt attempt = answer.attempt;
             String session = attempt.order.playback();
             attempt.finish(Verdict.OK);
-            if (cancelledAt.remove(session) != null) { // A second copy must not end what plays.
-                ambiguous.put(session, life.heardAt());
+            if (history.takeCancelled(session)) {
+                history.ambiguous(session, life.heardAt());
             }
             attempt.result.started(answer.report, answer.description);
         }
@@ -1381,8 +1346,8 @@
                 pool.repeats.begun(attempt.sentAt, pool.followed);
                 judge(new HeldAnswer(attempt, report, message.body()), AnswerJudge.Proof.NONE);
             } else if (message.sequence() == SET_UP) {
-                refusedAt.put(message.session(), life.heardAt());
-                if (cancelledAt.containsKey(message.session())) {
+                history.refused(message.session(), life.heardAt());
+                if (history.mayAnswerCancelled(message.session())) {
                     attempt.answerRefused(Verdict.ERROR); // It may be the late answer to the attempt before, which proves nothing of this one.
                     return;
                 }
@@ -1398,7 +1363,7 @@
 
         /** An answer that can only be that attempt's own shows that all before it was read. */
         private void proveBy(Attempt attempt) {
-            if (!cancelledAt.containsKey(attempt.order.playback())) {
+            if (!history.mayAnswerCancelled(attempt.order.playback())) {
                 provenRead(attempt.position);
                 pool.answered(attempt.sentAt);
             }
@@ -1414,16 +1379,16 @@
         private void answeredLate(Rtsp message) {
             String session = message.session();
             if (message.status() == 200) {
-                if (cancelledAt.remove(session) != null) {
-                    refusedAt.put(session, life.heardAt());
+                if (history.takeCancelled(session)) {
+                    history.refused(session, life.heardAt());
                     sendOnAny(released(session));
                 }
                 return;
             }
-            if (cancelledAt.remove(session) != null) {
-                refusedAt.put(session, life.heardAt());
+            if (history.takeCancelled(session)) {
+                history.refused(session, life.heardAt());
             }
-            if (ambiguous.remove(session) != null) {
+            if (history.takeAmbiguous(session)) {
                 // The answer that it plays was the one to the attempt before: this refuses the attempt that counted as playing.
                 sendOnAny(released(session));
                 notes.ended(pool.address.id(), session, Verdict.BROKEN);
@@ -1457,18 +1422,7 @@
                         noteRelease(message.session(), notes.ended(host, message.session(), verdict));
                     }
                 }
-                case "ANNOUNCE" -> {
-                    double figure = Occupancy.figure(message.field("x-reading"));
-                    if (!Double.isNaN(figure)) {
-                        switch (message.field("x-diagnosis")) {
-                            case "served" -> notes.delivered(host, message.session(), figure);
-                            case "at_rung" -> notes.rung(host, message.session(), (int) figure);
-                            case "link_use" -> notes.load(host, message.session(), new LoadReport(figure, Double.NaN));
-                            case "rack_use" -> notes.load(host, message.session(), new LoadReport(Double.NaN, figure));
-                            default -> { }
-                        }
-                    }
-                }
+                case "ANNOUNCE" -> HostNote.tell(message, host, notes);
                 case "OPTIONS" -> write(Rtsp.response(200, "OK", OPTIONS, message.session()));
                 default -> { }
             }
