Connections: a stopped host's are no longer closed for one that can't be reached

Cause: a host with sessions and no connection took, at each look, the place of the oldest half-closed one of any host; hosts that stand still have most of these, as they were half-closed again and again for room that this can't bring. Change: no more connections of a host are half-closed for room once one was not ended for 250 ms; for a host that can't be reached one goes whose host has another in its queue, on which ends are said again, and the oldest only after 1.5 s. A host listed as gone counts as carrying sessions until its last words are no longer awaited.

--- a/src/main/java/cypressvalve/host/rtsp/ConnectionBudget.java
+++ b/src/main/java/cypressvalve/host/rtsp/ConnectionBudget.java
@@ -18,6 +18,10 @@
     static final int MAX_ENDING = 8;
     /** A host that lives ends its side of a connection within this. */
     static final long END_TIMEOUT = 1_000_000_000L;
+    /** One that has not ended a connection in this may stand still: half-closing more of its connections brings no room. */
+    static final long SLOW_TO_END = 250_000_000L;
+    /** A host that carries sessions waits so long for its only connection before another host's goes for it. */
+    static final long REACH_PATIENCE = 1_500_000_000L;
 
     /** What a connection is wanted for. */
     enum Purpose {
@@ -26,7 +30,9 @@
         /** The host may have something to say on a new connection. */
         LISTEN,
         /** The host carries sessions and has no connection. */
-        REACH
+        REACH,
+        /** The same, for longer than {@link #REACH_PATIENCE}. */
+        REACH_AT_LAST
     }
 
     /** A connection that is held. */
@@ -42,8 +48,11 @@
         /** Whether its host has said what it had to say on a new connection, or had the time for it. */
         boolean listenedLongEnough();
 
-        /** Whether its host has another connection that is half-closed, and has not ended that. */
-        boolean hostHasUnended();
+        /** Whether its host has a connection that is half-closed as of no more use, and has not ended that in so long. */
+        boolean hostHasUnendedFor(long nanos);
+
+        /** Whether a connection that its host's process has not taken, but its system, is held beside it. */
+        boolean hostHasQueued();
 
         /** Whether its host has said nothing anywhere since it could have said something on it. */
         boolean mayHoldUnsaidEnds();
@@ -93,12 +102,13 @@
         return ending.size() < MAX_ENDING;
     }
 
-    /** The one to be half-closed for another; none where all are in use. */
+    /** The one to be half-closed for another; none where all are in use, or of hosts that may stand still. */
     Optional<C> leastNeeded(Purpose purpose) {
         return held.stream().filter(connection -> connection.mayMakeRoom() && (purpose == Purpose.SEND || connection.listenedLongEnough()))
+            .filter(connection -> !connection.hostCarriesSessions() || !connection.hostHasUnendedFor(SLOW_TO_END))
             .min(Comparator.comparing(Held::hostCarriesSessions)
                 .thenComparing(connection -> !connection.listenedLongEnough())
-                .thenComparing(Held::hostHasUnended)
+                .thenComparing(connection -> connection.hostHasUnendedFor(0))
                 .thenComparing(connection -> !connection.life().isAccepted())
                 .thenComparing(Held::mayHoldUnsaidEnds)
                 .thenComparingLong(connection -> connection.life().usedAt()));
@@ -106,14 +116,23 @@
 
     /**
      * The half-closed one to be closed though its host has not ended it; none where a host may yet say an end there: one of a host that
-     * carries no sessions, or whose process has run since and keeps its side. For a host that carries sessions and has no connection the
-     * oldest that the other host's process has taken goes, too, once that has had the time to end it.
+     * carries no sessions, or whose process has run since and keeps its side. For a host that carries sessions and has no connection one
+     * that the other host's process has taken goes, too, once that has had the time to end it: where it says an end there, it says that
+     * again on the one in its queue; at last the oldest, though it has none.
      */
     Optional<C> closable(Purpose purpose, long now) {
         return firstEnding(connection -> !connection.hostCarriesSessions())
             .or(() -> firstEnding(connection -> connection.life().notEndedFor(END_TIMEOUT, now)))
-            .or(() -> purpose == Purpose.REACH ? firstEnding(connection -> connection.life().isAccepted()
-                && connection.life().givenUpFor(END_TIMEOUT, now)) : Optional.empty());
+            .or(() -> reaches(purpose) ? firstEnding(connection -> isOverdue(connection, now) && connection.hostHasQueued()) : Optional.empty())
+            .or(() -> purpose == Purpose.REACH_AT_LAST ? firstEnding(connection -> isOverdue(connection, now)) : Optional.empty());
+    }
+
+    private static boolean reaches(Purpose purpose) {
+        return purpose == Purpose.REACH || purpose == Purpose.REACH_AT_LAST;
+    }
+
+    private boolean isOverdue(C connection, long now) {
+        return connection.life().isAccepted() && connection.life().givenUpFor(END_TIMEOUT, now);
     }
 
     private Optional<C> firstEnding(Predicate<C> which) {
--- a/src/main/java/cypressvalve/host/rtsp/EndRepeats.java
+++ b/src/main/java/cypressvalve/host/rtsp/EndRepeats.java
@@ -24,6 +24,23 @@
     private long spokeAt = NEVER;
     /** When a connection was given up to make room for another host's. */
     private long closedForRoomAt = NEVER;
+    /** When the last connection was over. */
+    private long overAt;
+
+    /** @param now when the host has no connection yet */
+    EndRepeats(long now) {
+        overAt = now;
+    }
+
+    /** A connection is over, however it went. */
+    void over(long now) {
+        overAt = now;
+    }
+
+    /** Whether the host, which has no connection, has had none for so long. */
+    boolean withoutConnectionFor(long nanos, long now) {
+        return now - overAt > nanos;
+    }
 
     /** A connection that was up has ended: what the host said on it last may be lost. */
     void ended(long now) {
--- a/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
+++ b/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
@@ -169,14 +169,16 @@
         if (budget.hasRoom()) {
             return true;
         }
-        if (!budget.mayEndOneMore()) {
-            Optional<HostConnection> closable = budget.closable(purpose, System.nanoTime());
-            closable.ifPresent(HostConnection::closeUnended);
-            if (closable.isEmpty() || budget.hasRoom()) {
-                return closable.isPresent();
-            }
+        if (endLeastNeeded(purpose)) {
+            return true;
         }
-        Optional<HostConnection> least = budget.leastNeeded(purpose);
+        Optional<HostConnection> closable = budget.closable(purpose, System.nanoTime());
+        closable.ifPresent(HostConnection::closeUnended);
+        return closable.isPresent() && (budget.hasRoom() || endLeastNeeded(purpose));
+    }
+
+    private boolean endLeastNeeded(ConnectionBudget.Purpose purpose) {
+        Optional<HostConnection> least = budget.mayEndOneMore() ? budget.leastNeeded(purpose) : Optional.empty();
         least.ifPresent(connection -> {
             connection.end(CloseReason.ROOM);
             connection.pool.repeats.closedForRoom(System.nanoTime());
@@ -582,7 +584,7 @@
         private long heardAt = NEVER;
         /** When a connection came up last. */
         private long connectedAt = NEVER;
-        private final EndRepeats repeats = new EndRepeats();
+        private final EndRepeats repeats = new EndRepeats(System.nanoTime());
 
         private ConnectionPool(HostAddress address) {
             this.address = address;
@@ -623,8 +625,9 @@
             return !waitedInVain && unaccepted.size() < MAX_UNACCEPTED_CONNECTIONS;
         }
 
+        /** A host that the list says has gone does, too, until its last words are no longer awaited. */
         private boolean carriesSessions() {
-            return followed && !gone;
+            return followed;
         }
 
         /** The last of those that wait for the host's process, once there are enough: one more would only wait behind them. */
@@ -713,7 +716,7 @@
                 case CONNECT -> {
                     if (gone) {
                         lost(); // Whoever answers at its address now is another.
-                    } else if (makeRoom(connections.isEmpty() ? ConnectionBudget.Purpose.REACH : ConnectionBudget.Purpose.LISTEN)) {
+                    } else if (makeRoom(listenPurpose(now))) {
                         new HostConnection(this);
                     }
                 }
@@ -726,6 +729,13 @@
             }
         }
 
+        private ConnectionBudget.Purpose listenPurpose(long now) {
+            if (!connections.isEmpty()) {
+                return ConnectionBudget.Purpose.LISTEN;
+            }
+            return repeats.withoutConnectionFor(ConnectionBudget.REACH_PATIENCE, now) ? ConnectionBudget.Purpose.REACH_AT_LAST : ConnectionBudget.Purpose.REACH;
+        }
+
         private void lost() {
             followed = false;
             outbound.drop();
@@ -906,12 +916,18 @@
          */
         @Override
         public boolean mayHoldUnsaidEnds() {
-            return life.hasComeUp() && !life.isClosed() && pool.carriesSessions() && pool.heardAt <= life.reachedAt();
+            return life.hasComeUp() && !life.isClosed() && pool.carriesSessions() && !pool.gone && pool.heardAt <= life.reachedAt();
+        }
+
+        @Override
+        public boolean hostHasUnendedFor(long nanos) {
+            long now = System.nanoTime();
+            return pool.connections.stream().anyMatch(connection -> connection.life.givenUpFor(nanos, now));
         }
 
         @Override
-        public boolean hostHasUnended() {
-            return pool.connections.stream().anyMatch(connection -> connection.life.isGivenUp());
+        public boolean hostHasQueued() {
+            return pool.connections.stream().anyMatch(connection -> connection.life.hasComeUp() && !connection.life.isAccepted());
         }
 
         private int load() {
@@ -1075,6 +1091,7 @@
         private void removeFromPool() {
             if (budget.closed(this)) {
                 pool.connections.remove(this);
+                pool.repeats.over(System.nanoTime());
             }
         }
 
--- a/src/main/java/cypressvalve/soak/StandstillTrial.java
+++ b/src/main/java/cypressvalve/soak/StandstillTrial.java
@@ -6,11 +6,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /**
  * Plays one {@link StandstillPlan}: hundreds of sessions stand at media hosts that are stopped and go on, while usual clients and crowds ask
@@ -30,6 +33,8 @@
     private static final String GATEWAY = "gateway";
     /** Lines of the gateway's log that tell of closes of connections to media hosts. */
     private static final String CLOSES = "HOST_CLOS";
+    private static final String CONNECTION_EVENT = " HOST_";
+    private static final Pattern HOST_FIELD = Pattern.compile("host=[0-9a-f]+");
 
     /**
      * How a trial went.
@@ -171,12 +176,20 @@
             + untold.dueMicros());
         untold.story().forEach(event -> text.append("\n  ").append(event));
         gateway.log(untold.request()).forEach(line -> text.append("\n  ").append(line));
+        connectionLog(untold.request()).forEach(line -> text.append("\n  gateway: ").append(line));
         untold.story().stream().filter(event -> event.kind() == Event.Kind.SESSION_RELEASED).map(Event::party).distinct()
             .forEach(party -> hosts.stream().filter(host -> host.name().equals(party))
                 .forEach(host -> host.notes(untold.request()).forEach(note -> text.append("\n  host: ").append(note))));
         return text.toString();
     }
 
+    /** What the gateway has logged of its connections to the media host that a request was sent to last. */
+    private List<String> connectionLog(String request) {
+        Optional<String> host = gateway.log(request).stream().map(HOST_FIELD::matcher).filter(Matcher::find).map(Matcher::group)
+            .reduce((first, last) -> last);
+        return host.map(gateway::log).orElse(List.of()).stream().filter(line -> line.contains(CONNECTION_EVENT)).toList();
+    }
+
     @Override
     public void close() throws IOException, InterruptedException {
         for (ClientEmulator client : clients) {
