A host's only connection goes last for room, and is opened again as soon as there is any

Cause: the host's only connection had been closed for another host's, the least used going first; it was opened again after 3 s, though there was room. The session ended meanwhile, where the host could not say so, and the host was stopped before the next connection was up. Change: among hosts that carry sessions those with several connections give first; one without is connected to at the next look once there is room. Result: GivenUpConnectionsTest.aHostWhoseOnlyConnectionWentForAnother... failed before (no connection within 1 s) and passes.

--- a/src/main/java/cypressvalve/host/rtsp/ConnectionBudget.java
+++ b/src/main/java/cypressvalve/host/rtsp/ConnectionBudget.java
@@ -45,6 +45,9 @@
         /** Whether nothing is open on it, so that it may be half-closed. */
         boolean mayMakeRoom();
 
+        /** Whether its host would be left without a connection that stays. */
+        boolean isOnlyOneOfHost();
+
         /** Whether its host has said what it had to say on a new connection, or had the time for it. */
         boolean listenedLongEnough();
 
@@ -107,6 +110,7 @@
         return held.stream().filter(connection -> connection.mayMakeRoom() && (purpose == Purpose.SEND || connection.listenedLongEnough()))
             .filter(connection -> !connection.hostCarriesSessions() || !connection.hostHasUnendedFor(SLOW_TO_END))
             .min(Comparator.comparing(Held::hostCarriesSessions)
+                .thenComparing(Held::isOnlyOneOfHost)
                 .thenComparing(connection -> !connection.listenedLongEnough())
                 .thenComparing(connection -> connection.hostHasUnendedFor(0))
                 .thenComparing(connection -> !connection.life().isAccepted())
--- a/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
+++ b/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
@@ -709,7 +709,7 @@
                 lost();
                 return;
             }
-            if (connection == null && repeats.isClosedForRoom(now)) {
+            if (connection == null && repeats.isClosedForRoom(now) && !budget.hasRoom()) {
                 return;
             }
             switch (lifeline.step(now, connection != null, connections.stream().anyMatch(candidate -> !candidate.life.hasComeUp()))) {
@@ -919,6 +919,11 @@
             return life.hasComeUp() && !life.isClosed() && pool.carriesSessions() && !pool.gone && pool.heardAt <= life.reachedAt();
         }
 
+        @Override
+        public boolean isOnlyOneOfHost() {
+            return pool.connections.stream().noneMatch(connection -> connection != this && connection.life.hasComeUp() && !connection.life.isRetired());
+        }
+
         @Override
         public boolean hostHasUnendedFor(long nanos) {
             long now = System.nanoTime();
--- a/src/test/java/cypressvalve/host/rtsp/ConnectionBudgetTest.java
+++ b/src/test/java/cypressvalve/host/rtsp/ConnectionBudgetTest.java
@@ -18,6 +18,7 @@
     private static final class Connection implements ConnectionBudget.Held {
         private final ConnectionLife life = new ConnectionLife(0);
         private final boolean carriesSessions;
+        private boolean isOnlyOne;
         private boolean hasUnended;
         private boolean hasQueued;
 
@@ -41,6 +42,11 @@
             return !life.isGivenUp();
         }
 
+        @Override
+        public boolean isOnlyOneOfHost() {
+            return isOnlyOne;
+        }
+
         @Override
         public boolean listenedLongEnough() {
             return true;
@@ -85,6 +91,18 @@
         assertEquals(Optional.of(waits), budget.leastNeeded(Purpose.SEND));
     }
 
+    @Test
+    void aHostsOnlyConnectionIsGivenUpAfterThoseOfHostsWithSeveral() {
+        Connection onlyOne = opened(true);
+        onlyOne.isOnlyOne = true;
+        onlyOne.life.heard(1);
+        Connection oneOfSeveral = opened(true);
+        oneOfSeveral.life.heard(SECOND);
+        assertEquals(Optional.of(oneOfSeveral), budget.leastNeeded(Purpose.SEND));
+        oneOfSeveral.life.giveUp(SECOND);
+        assertEquals(Optional.of(onlyOne), budget.leastNeeded(Purpose.SEND));
+    }
+
     @Test
     void halfClosedConnectionsBeyondTheirNumberLeaveNoRoom() {
         for (int i = 0; i < 2 + ConnectionBudget.MAX_ENDING; i++) {
--- a/src/test/java/cypressvalve/host/rtsp/GivenUpConnectionsTest.java
+++ b/src/test/java/cypressvalve/host/rtsp/GivenUpConnectionsTest.java
@@ -127,6 +127,31 @@
         onLoop(call[0]::withdraw);
     }
 
+    /** Guards against ends at a host that is left without a connection for seconds, as its only one went for another host's. */
+    @Test
+    void aHostWhoseOnlyConnectionWentForAnotherIsConnectedToAsSoonAsThereIsRoom() throws Exception {
+        List<Socket> connections = new ArrayList<>();
+        for (int i = 0; i < MOST_LINES; i++) {
+            HostAddress other = new HostAddress(100 + i, "127.0.0.1", server.getLocalPort());
+            onLoop(() -> used.follow(other, true));
+            connections.add(server.accept());
+            say(connections.get(i), end(String.format("%016x", i)), "");
+            assertToldInTime(String.format("%016x", i));
+        }
+        onLoop(() -> setUp(OTHER));
+        Socket taken = server.accept();
+        assertTrue(message(reader(taken)).startsWith("SETUP"));
+        Socket givenUp = connections.get(0);
+        reader(givenUp).lines().forEach(line -> { }); // Until its end by the gateway.
+        givenUp.close();
+        taken.close();
+        server.setSoTimeout(RELEASED_WITHIN_MILLIS);
+        try (Socket again = server.accept()) {
+            say(again, end(SESSION), "");
+            assertEquals("ended " + SESSION + " OK", toldBut("back " + OTHER + " BROKEN"));
+        }
+    }
+
     private String toldBut(String other) throws InterruptedException {
         String next = told.poll(RELEASED_WITHIN_MILLIS, TimeUnit.MILLISECONDS);
         return other.equals(next) ? told.poll(RELEASED_WITHIN_MILLIS, TimeUnit.MILLISECONDS) : next;
