Events of a gateway's own releases to media hosts, and of their hosts' connections in a soak's report

Where a session stays at its media host, the log had no line of the gateway's own release: written on which connection, waiting, dropped, shown to be read. Change: RELEASE_TO_HOST_WRITTEN, _WAITS, _READ and _DROPPED with connection, host and reason; the emulated host records a release as it comes whole; a broken rule of the soak is printed with the connections to the hosts of its request. No behaviour changes.

--- a/src/main/java/cypressvalve/diagnostics/EventKind.java
+++ b/src/main/java/cypressvalve/diagnostics/EventKind.java
@@ -20,6 +20,14 @@
     SESSION_ENDED,
     /** A media host's release of a session was read; the detail is what came of it. */
     HOST_RELEASE_READ,
+    /** The gateway's own release of a session was written to a connection to the media host; the detail says whether all of it has left. */
+    RELEASE_TO_HOST_WRITTEN,
+    /** The gateway's own release of a session waits for a connection to the media host. */
+    RELEASE_TO_HOST_WAITS,
+    /** The media host has shown that it read the gateway's own release; the detail says how. */
+    RELEASE_TO_HOST_READ,
+    /** The gateway's own release of a session, or a cancel, is no longer owed to the media host; the detail says why. */
+    RELEASE_TO_HOST_DROPPED,
     /** A client's release was read; the detail says what it ended. */
     CLIENT_RELEASE_READ,
     /** A session's end was written to a client's connection; the detail says whether its own. */
--- a/src/main/java/cypressvalve/host/rtsp/OutboundQueue.java
+++ b/src/main/java/cypressvalve/host/rtsp/OutboundQueue.java
@@ -1,6 +1,7 @@
 package cypressvalve.host.rtsp;
 
 import java.util.ArrayDeque;
+import java.util.List;
 
 /**
  * Messages for one media host that wait for a connection. What ends sessions at a host that is out of reach is tried again a few times, ever
@@ -36,14 +37,14 @@
         retries = 0;
     }
 
-    /** None did: what ends sessions is tried again later, the rest is dropped; after the last retry all is. */
-    void unreached(long now) {
+    /** None did: what ends sessions is tried again later, the rest is dropped; after the last retry all is. Returns the sessions whose ends are. */
+    List<String> unreached(long now) {
         messages.removeIf(message -> !message.ends());
         if (messages.isEmpty() || retries >= MAX_RETRIES) {
-            drop();
-            return;
+            return drop();
         }
         retryAt = now + (RETRY_INTERVAL << retries++);
+        return List.of();
     }
 
     /** Whether a connection is to be tried for what waits. */
@@ -51,9 +52,11 @@
         return !messages.isEmpty() && now >= retryAt;
     }
 
-    /** Nothing is owed to the host any more. */
-    void drop() {
+    /** Nothing is owed to the host any more; returns the sessions whose ends were. */
+    List<String> drop() {
+        List<String> owed = messages.stream().filter(OutboundMessage::ends).map(OutboundMessage::session).toList();
         messages.clear();
         retries = 0;
+        return owed;
     }
 }
--- a/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
+++ b/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
@@ -651,19 +651,32 @@
         private HostConnection send(OutboundMessage message) {
             HostConnection connection = open();
             if (connection == null && gone && message.ends()) {
-                return successor().map(pool -> pool.send(message)).orElse(null);
+                Optional<ConnectionPool> successor = successor();
+                if (successor.isEmpty()) {
+                    dropped(List.of(message.session()), "host gone, without a connection");
+                }
+                return successor.map(pool -> pool.send(message)).orElse(null);
             }
             if (connection != null) {
                 connection.send(message);
             } else if (!gone && outbound.add(message)) {
+                if (message.ends()) {
+                    events.record(EventKind.RELEASE_TO_HOST_WAITS, message.session(), EventLog.NONE, address.id(), null);
+                }
                 if (connections.stream().allMatch(candidate -> candidate.life.isRetired()) && makeRoom(ConnectionBudget.Purpose.SEND)) {
                     new HostConnection(this);
                 }
                 connection = connections.stream().filter(candidate -> !candidate.life.hasComeUp()).findFirst().orElse(null);
+            } else if (message.ends()) {
+                dropped(List.of(message.session()), "too many wait");
             }
             return connection;
         }
 
+        private void dropped(List<String> sessions, String why) {
+            sessions.forEach(session -> events.record(EventKind.RELEASE_TO_HOST_DROPPED, session, EventLog.NONE, address.id(), why));
+        }
+
         /** The host that has the address now: a set-up for the one that has gone may have reached it. */
         private Optional<ConnectionPool> successor() {
             return pools.values().stream().filter(pool -> pool != this && !pool.gone && pool.address.port() == address.port()
@@ -738,7 +751,7 @@
 
         private void lost() {
             followed = false;
-            outbound.drop();
+            dropped(outbound.drop(), gone ? "host gone" : "host lost");
             lifeline = new Lifeline(System.nanoTime(), limits.connectTimeout());
             events.record(EventKind.HOST_LOST, null, EventLog.NONE, address.id(), gone ? "gone from the list" : "unreachable");
             notes.lost(address.id());
@@ -885,9 +898,9 @@
                 pool.checkLiveness();
             } else if (pool.connections.stream().allMatch(connection -> connection.life.isRetired())) {
                 if (pool.gone) {
-                    pool.outbound.drop();
+                    pool.dropped(pool.outbound.drop(), "host gone, unreached");
                 } else {
-                    pool.outbound.unreached(System.nanoTime());
+                    pool.dropped(pool.outbound.unreached(System.nanoTime()), "host unreached");
                 }
             }
         }
@@ -1079,10 +1092,19 @@
         }
 
         private void send(OutboundMessage message) {
-            if (message.ends()) {
-                unread.ending(message, proofs.written());
+            String givenUp = message.ends() ? unread.ending(message, proofs.written()) : null;
+            if (givenUp != null) {
+                pool.dropped(List.of(givenUp), "too many unread");
             }
             write(message.bytes());
+            if (message.ends()) {
+                events.record(EventKind.RELEASE_TO_HOST_WRITTEN, message.session(), number, pool.address.id(),
+                    duplex.flushed() ? null : "queued");
+            }
+        }
+
+        private void noteReleasesRead(List<String> sessions, String how) {
+            sessions.forEach(session -> events.record(EventKind.RELEASE_TO_HOST_READ, session, number, pool.address.id(), how));
         }
 
         private void sendOnAny(OutboundMessage message) {
@@ -1361,7 +1383,7 @@
             } else if (message.sequence() == SET_UP && attempt == null) {
                 answeredLate(message);
             } else if (message.sequence() == TEARDOWN) {
-                unread.acknowledged(message.session());
+                noteReleasesRead(unread.acknowledged(message.session()), "acknowledged");
                 cancelRead(message.session());
             } else if (message.sequence() == SET_UP && message.status() == 200) {
                 proveBy(attempt);
@@ -1393,7 +1415,7 @@
 
         /** The host has read what was written up to that position. */
         private void provenRead(long position) {
-            unread.readUpTo(position);
+            noteReleasesRead(unread.readUpTo(position), "answered behind it");
             proofs.answered(position).forEach(Attempt::provenOver);
         }
 
--- a/src/main/java/cypressvalve/host/rtsp/UnreadMessages.java
+++ b/src/main/java/cypressvalve/host/rtsp/UnreadMessages.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /**
  * What ends sessions and attempts at a media host, was written to one connection, and is not known to be read: owed again elsewhere once the
@@ -21,12 +22,10 @@
     /** Cancels by session, with their positions. */
     private final Map<String, Long> cancels = new HashMap<>();
 
-    /** A message that ends a session is written. */
-    void ending(OutboundMessage message, long position) {
+    /** A message that ends a session is written; returns the session whose own is given up for it, or null. */
+    String ending(OutboundMessage message, long position) {
         endings.add(new Ending(message, position));
-        if (endings.size() > MAX_KEPT) {
-            endings.poll();
-        }
+        return endings.size() > MAX_KEPT ? endings.poll().message.session() : null;
     }
 
     /** An attempt's cancel is written. */
@@ -34,15 +33,21 @@
         cancels.put(session, position);
     }
 
-    /** The host has read all that was written before that position. */
-    void readUpTo(long position) {
-        endings.removeIf(ending -> ending.position < position);
+    /** The host has read all that was written before that position; returns the sessions whose ends it has read so. */
+    List<String> readUpTo(long position) {
         cancels.values().removeIf(cancel -> cancel < position);
+        return take(ending -> ending.position < position);
     }
 
-    /** The host has acknowledged the session's end. */
-    void acknowledged(String session) {
-        endings.removeIf(ending -> ending.message.session().equals(session));
+    /** The host has acknowledged the session's end; returns the session once for each that was not known to be read. */
+    List<String> acknowledged(String session) {
+        return take(ending -> ending.message.session().equals(session));
+    }
+
+    private List<String> take(Predicate<Ending> which) {
+        List<String> taken = endings.stream().filter(which).map(ending -> ending.message.session()).toList();
+        endings.removeIf(which);
+        return taken;
     }
 
     /** Cancels of other sessions are no longer of interest. */
--- a/src/main/java/cypressvalve/soak/Event.java
+++ b/src/main/java/cypressvalve/soak/Event.java
@@ -46,6 +46,8 @@
         SESSION_RELEASED,
         /** A session was over at its media host, which could not say so; the detail is why. */
         SESSION_OVER,
+        /** A gateway's release or cancel came whole to a media host's machine, whenever its process reads it. */
+        RELEASE_ARRIVED,
         /** A media host read that the gateway has ended a session. */
         SESSION_ENDED_BY_GATEWAY,
         /** A session stands at a media host as the trial ends. */
--- a/src/main/java/cypressvalve/soak/GatewayProcess.java
+++ b/src/main/java/cypressvalve/soak/GatewayProcess.java
@@ -9,14 +9,19 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.Collectors;
 
 /** A real gateway process ({@code serve}) of this build, with its log and the signals that the platform sends it. */
 public final class GatewayProcess implements AutoCloseable {
     private static final Pattern LISTENS = Pattern.compile("listens on /?([0-9.]+):([0-9]+)");
+    private static final Pattern HOST = Pattern.compile("host=[0-9a-f]+");
+    /** Events of connections to media hosts, in all of which the host is named. */
+    private static final Pattern CONNECTION_EVENT = Pattern.compile(" HOST_(CONNECTING|CONNECTED|CLOSING|CLOSED|UNREADABLE|TESTED|LOST) ");
     private static final long START_SECONDS = 30;
     private static final List<String> JVM_OPTIONS = List.of("-Xmx96m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
         "-Djava.net.preferIPv4Stack=true");
@@ -167,6 +172,13 @@
         return log.stream().filter(line -> line.contains(request)).toList();
     }
 
+    /** The same, and what became of its connections to the media hosts that it went to. */
+    synchronized List<String> logWithConnections(String request) {
+        Set<String> hosts = log(request).stream().map(HOST::matcher).filter(Matcher::find).map(Matcher::group).collect(Collectors.toSet());
+        return log.stream().filter(line -> line.contains(request) || CONNECTION_EVENT.matcher(line).find() && hosts.stream().anyMatch(line::contains))
+            .toList();
+    }
+
     @Override
     public void close() throws InterruptedException {
         process.toHandle().destroyForcibly();
--- a/src/main/java/cypressvalve/soak/GatewaySlot.java
+++ b/src/main/java/cypressvalve/soak/GatewaySlot.java
@@ -134,9 +134,14 @@
         return process;
     }
 
-    /** What all its processes have logged of a request. */
-    synchronized List<String> log(String request) {
-        return lives.stream().flatMap(life -> life.log(request).stream()).toList();
+    /** What all its processes have logged of that. */
+    synchronized List<String> log(String text) {
+        return lives.stream().flatMap(life -> life.log(text).stream()).toList();
+    }
+
+    /** What all its processes have logged of a request, and of their connections to the media hosts that it went to. */
+    synchronized List<String> logWithConnections(String request) {
+        return lives.stream().flatMap(life -> life.logWithConnections(request).stream()).toList();
     }
 
     @Override
--- a/src/main/java/cypressvalve/soak/MediaHostEmulator.java
+++ b/src/main/java/cypressvalve/soak/MediaHostEmulator.java
@@ -323,6 +323,8 @@
             if (message.method().equals("SETUP") && !ended) {
                 open.add(new OpenAttempt(message.session(), this));
                 record.add(atMicros, Event.Kind.ATTEMPT_BEGUN, name, message.session(), message.offer());
+            } else if (message.method().equals("TEARDOWN")) {
+                record.add(atMicros, Event.Kind.RELEASE_ARRIVED, name, message.session(), "");
             }
         }
 
--- a/src/main/java/cypressvalve/soak/SoakTrial.java
+++ b/src/main/java/cypressvalve/soak/SoakTrial.java
@@ -401,7 +401,7 @@
         for (RecordChecker.Violation violation : RecordChecker.check(record.events())) {
             StringBuilder text = new StringBuilder(violation.toString());
             context(violation).forEach(event -> text.append("\n  beside it: ").append(event));
-            gateways.forEach(g -> g.log(violation.request()).forEach(line -> text.append("\n  ").append(line)));
+            gateways.forEach(g -> g.logWithConnections(violation.request()).forEach(line -> text.append("\n  ").append(line)));
             violations.add(text.toString());
         }
         gateways.forEach(gateway -> gateway.log("INVARIANT_VIOLATED").forEach(line -> violations.add("INVARIANT " + line)));
