A release that waits for its media host is kept where that counts as lost

Cause: RtspHostClient.ConnectionPool.lost() emptied OutboundQueue, and with it the releases that waited for a connection. A host counts as lost after three connections that did not come up, which proves nothing of its sessions: it may only have been out of reach. Change: what ends sessions stays owed until the list says that the host has gone; then it is passed on to the host at its address, if any, and otherwise dropped with an event. The same where a host's id has another address.

--- a/src/main/java/cypressvalve/host/rtsp/OutboundQueue.java
+++ b/src/main/java/cypressvalve/host/rtsp/OutboundQueue.java
@@ -37,11 +37,11 @@
         retries = 0;
     }
 
-    /** None did: what ends sessions is tried again later, the rest is dropped; after the last retry all is. Returns the sessions whose ends are. */
-    List<String> unreached(long now) {
+    /** None did: what ends sessions is tried again later, the rest is dropped; after the last retry all is. Returns what ends sessions of that. */
+    List<OutboundMessage> unreached(long now) {
         messages.removeIf(message -> !message.ends());
         if (messages.isEmpty() || retries >= MAX_RETRIES) {
-            return drop();
+            return takeEndings();
         }
         retryAt = now + (RETRY_INTERVAL << retries++);
         return List.of();
@@ -52,9 +52,9 @@
         return !messages.isEmpty() && now >= retryAt;
     }
 
-    /** Nothing is owed to the host any more; returns the sessions whose ends were. */
-    List<String> drop() {
-        List<String> owed = messages.stream().filter(OutboundMessage::ends).map(OutboundMessage::session).toList();
+    /** Empties the queue; returns what ends sessions, which the caller owes from now on. */
+    List<OutboundMessage> takeEndings() {
+        List<OutboundMessage> owed = messages.stream().filter(OutboundMessage::ends).toList();
         messages.clear();
         retries = 0;
         return owed;
--- a/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
+++ b/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
@@ -283,6 +283,8 @@
             pool.goneAt = System.nanoTime();
             if (pool.followed) {
                 pool.checkLiveness();
+            } else if (is) {
+                pool.passOnWaiting();
             }
         }
     }
@@ -651,11 +653,7 @@
         private HostConnection send(OutboundMessage message) {
             HostConnection connection = open();
             if (connection == null && gone && message.ends()) {
-                Optional<ConnectionPool> successor = successor();
-                if (successor.isEmpty()) {
-                    dropped(List.of(message.session()), "host gone, without a connection");
-                }
-                return successor.map(pool -> pool.send(message)).orElse(null);
+                return passOn(message);
             }
             if (connection != null) {
                 connection.send(message);
@@ -668,13 +666,26 @@
                 }
                 connection = connections.stream().filter(candidate -> !candidate.life.hasComeUp()).findFirst().orElse(null);
             } else if (message.ends()) {
-                dropped(List.of(message.session()), "too many wait");
+                dropped(message.session(), "too many wait");
             }
             return connection;
         }
 
-        private void dropped(List<String> sessions, String why) {
-            sessions.forEach(session -> events.record(EventKind.RELEASE_TO_HOST_DROPPED, session, EventLog.NONE, address.id(), why));
+        /** To the host that has the address by now, if any: a set-up for the one that has gone may have reached it. */
+        private HostConnection passOn(OutboundMessage message) {
+            Optional<ConnectionPool> successor = successor();
+            if (successor.isEmpty()) {
+                dropped(message.session(), "the list says that its host has gone");
+            }
+            return successor.map(pool -> pool.send(message)).orElse(null);
+        }
+
+        private void passOnWaiting() {
+            outbound.takeEndings().forEach(this::passOn);
+        }
+
+        private void dropped(String session, String why) {
+            events.record(EventKind.RELEASE_TO_HOST_DROPPED, session, EventLog.NONE, address.id(), why);
         }
 
         /** The host that has the address now: a set-up for the one that has gone may have reached it. */
@@ -751,7 +762,9 @@
 
         private void lost() {
             followed = false;
-            dropped(outbound.drop(), gone ? "host gone" : "host lost");
+            if (gone) {
+                passOnWaiting();
+            }
             lifeline = new Lifeline(System.nanoTime(), limits.connectTimeout());
             events.record(EventKind.HOST_LOST, null, EventLog.NONE, address.id(), gone ? "gone from the list" : "unreachable");
             notes.lost(address.id());
@@ -782,6 +795,7 @@
         private void retire() {
             followed = false;
             replaced.add(this);
+            outbound.takeEndings().forEach(message -> dropped(message.session(), "its host has another address by now"));
             connections.forEach(connection -> connection.life.retire());
             List.copyOf(connections).stream().filter(HostConnection::unused).forEach(connection -> connection.end(CloseReason.ADDRESS_REPLACED));
         }
@@ -898,9 +912,9 @@
                 pool.checkLiveness();
             } else if (pool.connections.stream().allMatch(connection -> connection.life.isRetired())) {
                 if (pool.gone) {
-                    pool.dropped(pool.outbound.drop(), "host gone, unreached");
+                    pool.passOnWaiting();
                 } else {
-                    pool.dropped(pool.outbound.unreached(System.nanoTime()), "host unreached");
+                    pool.outbound.unreached(System.nanoTime()).forEach(message -> pool.dropped(message.session(), "host unreached"));
                 }
             }
         }
@@ -1094,7 +1108,7 @@
         private void send(OutboundMessage message) {
             String givenUp = message.ends() ? unread.ending(message, proofs.written()) : null;
             if (givenUp != null) {
-                pool.dropped(List.of(givenUp), "too many unread");
+                pool.dropped(givenUp, "too many unread");
             }
             write(message.bytes());
             if (message.ends()) {
--- a/src/test/java/cypressvalve/host/rtsp/ConnectionEndsTest.java
+++ b/src/test/java/cypressvalve/host/rtsp/ConnectionEndsTest.java
@@ -115,6 +115,25 @@
         }
     }
 
+    /** Guards against sessions left standing at a host that counted as lost while their release waited for a connection to it. */
+    @Test
+    void aReleaseThatWaitsAsItsHostCountsAsLostIsSaidOnceTheHostIsReached() throws Exception {
+        onLoop(() -> client.follow(host, true));
+        Socket first = server.accept();
+        server.close();
+        first.close();
+        awaitConnections(0);
+        onLoop(() -> client.release(host, "00000000000000aa.0"));
+        assertEquals("lost 7", told.take());
+        try (ServerSocket again = new ServerSocket()) {
+            again.setReuseAddress(true);
+            again.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), host.port()));
+            again.setSoTimeout(10_000);
+            String said = message(reader(again.accept()));
+            assertTrue(said.startsWith(RELEASE) && said.contains("00000000000000aa"), said);
+        }
+    }
+
     @Test
     void connectionsThatHostsDoNotEndAreBoundToo() throws Exception {
         int hosts = MOST_LINES + 2 * RtspHostClient.MAX_ENDING;
--- /dev/null
+++ b/src/test/java/cypressvalve/soak/ReleaseToHostTest.java
@@ -0,0 +1,42 @@
+package cypressvalve.soak;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** A real process ends sessions at a media host that is out of reach as their clients release them. */
+@Timeout(60)
+class ReleaseToHostTest extends GatewayTrial {
+    private static final int PATIENCE_MILLIS = 1_000;
+    private static final int SESSIONS = 3;
+    /** How long the host is out of reach: over what it takes to count as lost, under what a machine may be cut off. */
+    private static final long OUT_OF_REACH_MILLIS = 4_000;
+
+    /** Guards against sessions left standing at a host that is out of reach, and counts as lost, while their release waits. */
+    @Test
+    void sessionsReleasedWhileTheirHostIsOutOfReachAreEndedThereOnceItIsReached() throws Exception {
+        start(1, 900, PATIENCE_MILLIS);
+        ClientEmulator client = client("client");
+        long first = 0;
+        for (int i = 0; i < SESSIONS; i++) {
+            ClientEmulator.SetUp request = request(PATIENCE_MILLIS);
+            first = i == 0 ? request.id() : first;
+            client.send(request);
+        }
+        assertTrue(record.await(Event.Kind.ANSWER_SERVED, SESSIONS, MOST_MILLIS), "not all were served");
+        hosts.get(0).unreachable(true);
+        hosts.get(0).resetConnections();
+        TimeUnit.MILLISECONDS.sleep(100); // The clients' own pace: the gateway has read by then that its connections are gone.
+        for (int i = 1; i < SESSIONS; i++) {
+            client.cancel(first + i); // The first one plays on, so that the host counts as lost.
+        }
+        TimeUnit.MILLISECONDS.sleep(OUT_OF_REACH_MILLIS);
+        hosts.get(0).unreachable(false);
+        record.await(Event.Kind.SESSION_ENDED_BY_GATEWAY, SESSIONS, MOST_MILLIS);
+        assertEquals(SESSIONS, record.count(Event.Kind.SESSION_ENDED_BY_GATEWAY), () -> String.join("\n", gateway.log()));
+        assertRulesKept();
+    }
+}
