Releases to a host out of reach are tried until the list says that it has gone

Cause: OutboundQueue.unreached counted each connection that did not come up as one of four retries and doubled the wait, also those that set-ups had opened; after the fourth it dropped all. Change: a connection that fails before the next try is due puts it off no further; the wait is doubled up to 4 s and the tries have no end. What is owed goes with the list's word that the host has gone, as told by an event.

--- a/src/main/java/cypressvalve/host/rtsp/OutboundQueue.java
+++ b/src/main/java/cypressvalve/host/rtsp/OutboundQueue.java
@@ -4,18 +4,18 @@
 import java.util.List;
 
 /**
- * Messages for one media host that wait for a connection. What ends sessions at a host that is out of reach is tried again a few times, ever
- * later. Free of I/O and of clocks; times are nanoseconds.
+ * Messages for one media host that wait for a connection. What ends sessions stays owed however long the host is out of reach, and a
+ * connection is tried for it again and again. Free of I/O and of clocks; times are nanoseconds.
  */
 final class OutboundQueue {
     /** More than a host can carry sessions. */
     private static final int MAX_MESSAGES = 512;
-    /** From a connection that did not come up to the next, for such messages alone; doubled each time. */
+    /** From a connection that did not come up to the next; doubled each time. */
     private static final long RETRY_INTERVAL = 1_000_000_000L;
-    private static final int MAX_RETRIES = 4;
+    private static final long MAX_RETRY_INTERVAL = 4_000_000_000L;
 
     private final ArrayDeque<OutboundMessage> messages = new ArrayDeque<>();
-    private int retries;
+    private long retryInterval = RETRY_INTERVAL;
     private long retryAt = Long.MIN_VALUE / 2;
 
     /** Whether it was taken; not where too many wait. */
@@ -32,19 +32,23 @@
         return messages.isEmpty();
     }
 
+    /** Whether something waits that ends a session. */
+    boolean owesEndings() {
+        return messages.stream().anyMatch(OutboundMessage::ends);
+    }
+
     /** A connection has come up. */
     void connected() {
-        retries = 0;
+        retryInterval = RETRY_INTERVAL;
     }
 
-    /** None did: what ends sessions is tried again later, the rest is dropped; after the last retry all is. Returns what ends sessions of that. */
-    List<OutboundMessage> unreached(long now) {
+    /** None did: what ends sessions is tried again later, the rest is dropped. A connection that was opened before that is due puts it off no further. */
+    void unreached(long now) {
         messages.removeIf(message -> !message.ends());
-        if (messages.isEmpty() || retries >= MAX_RETRIES) {
-            return takeEndings();
+        if (now >= retryAt) {
+            retryAt = now + retryInterval;
+            retryInterval = Math.min(2 * retryInterval, MAX_RETRY_INTERVAL);
         }
-        retryAt = now + (RETRY_INTERVAL << retries++);
-        return List.of();
     }
 
     /** Whether a connection is to be tried for what waits. */
@@ -56,7 +60,6 @@
     List<OutboundMessage> takeEndings() {
         List<OutboundMessage> owed = messages.stream().filter(OutboundMessage::ends).toList();
         messages.clear();
-        retries = 0;
         return owed;
     }
 }
--- a/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
+++ b/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
@@ -914,7 +914,7 @@
                 if (pool.gone) {
                     pool.passOnWaiting();
                 } else {
-                    pool.outbound.unreached(System.nanoTime()).forEach(message -> pool.dropped(message.session(), "host unreached"));
+                    pool.outbound.unreached(System.nanoTime());
                 }
             }
         }
