Rungs that wait for a connection take no room from what ends sessions

Cause: OutboundQueue took 512 messages of any kind; where rungs filled it, the end of a session was refused and lost. Change: where the queue is full and what comes ends a session, what does not is given up. Test: OutboundQueueTest#whatEndsASessionHasRoomWhereOtherMessagesWait failed before (expected true, was false).

--- a/src/main/java/cypressvalve/host/rtsp/OutboundQueue.java
+++ b/src/main/java/cypressvalve/host/rtsp/OutboundQueue.java
@@ -20,6 +20,9 @@
 
     /** Whether it was taken; not where too many wait. */
     boolean add(OutboundMessage message) {
+        if (messages.size() >= MAX_MESSAGES && message.ends()) {
+            messages.removeIf(waiting -> !waiting.ends());
+        }
         return messages.size() < MAX_MESSAGES && messages.add(message);
     }
 
--- a/src/test/java/cypressvalve/host/rtsp/OutboundQueueTest.java
+++ b/src/test/java/cypressvalve/host/rtsp/OutboundQueueTest.java
@@ -9,6 +9,7 @@
 
 class OutboundQueueTest {
     private static final long SECOND = 1_000_000_000L;
+    private static final int MANY = 600;
     private final OutboundQueue queue = new OutboundQueue();
 
     private static OutboundMessage message(String session, boolean ends) {
@@ -41,4 +42,13 @@
         assertEquals(List.of("aa"), queue.takeEndings().stream().map(OutboundMessage::session).toList());
         assertFalse(queue.owesEndings());
     }
+
+    @Test
+    void whatEndsASessionHasRoomWhereOtherMessagesWait() {
+        for (int i = 0; i < MANY; i++) {
+            queue.add(message("aa", false));
+        }
+        assertTrue(queue.add(message("bb", true)));
+        assertTrue(queue.owesEndings());
+    }
 }
