A process that ends by itself after SIGTERM waits for its releases to media hosts

Seen by callers: a session that its client has released during a shutdown stands at its media host for good. Cause: PlatformNode ended the process 0.65 s after SIGTERM where nothing was open or played and clients had gone; a release that waited for a connection to its host went with it. Found by reading on the path of the incident (series of restarts while hosts are out of reach). Change: such a release counts as busy: the process stays for it, as it does for sessions, until ShutdownSchedule.endsBy. Test: ReleaseToHostTest#aReleaseThatWaitsForItsHostDuringShutdownIsSaidBeforeTheProcessEnds failed before (0 of 1 sessions ended at the host within 15 s), passes now, on a real process.

--- a/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
+++ b/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
@@ -27,6 +27,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.xnio.IoFuture;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
@@ -157,6 +158,11 @@
         return budget.held();
     }
 
+    /** Whether the end of a session waits for a connection to its host. */
+    public boolean owesEndings() {
+        return Stream.concat(pools.values().stream(), replaced.stream()).anyMatch(pool -> pool.outbound.owesEndings());
+    }
+
     /** For the log: how many may be held, and why connections were given up since this was asked for last. */
     public String connectionsLine() {
         String line = "of " + budget.maxConnections() + " closes " + closes;
--- a/src/main/java/cypressvalve/run/PlatformNode.java
+++ b/src/main/java/cypressvalve/run/PlatformNode.java
@@ -293,7 +293,8 @@
             if (shutdown.closesUnused(since, late)) {
                 front.closeIdle(since >= shutdown.closesAfter());
             }
-            boolean busy = core.held(Session.State.OPENING) > 0 || core.held(Session.State.PLAYING) > 0 || !front.flushed();
+            boolean busy = core.held(Session.State.OPENING) > 0 || core.held(Session.State.PLAYING) > 0 || !front.flushed()
+                || client.owesEndings();
             if (shutdown.mayEnd(since, busy, front.connections())) {
                 lastWords(done);
             } else {
--- a/src/main/java/cypressvalve/run/ShutdownSchedule.java
+++ b/src/main/java/cypressvalve/run/ShutdownSchedule.java
@@ -68,7 +68,7 @@
      * Whether the process may end.
      *
      * @param since time since the signal
-     * @param busy requests are open, sessions play, or something waits to be written
+     * @param busy requests are open, sessions play, or something waits to be written, to clients or to media hosts
      * @param clients connections that clients hold: on each a request may be on its way
      */
     boolean mayEnd(long since, boolean busy, int clients) {
--- a/src/test/java/cypressvalve/soak/ReleaseToHostTest.java
+++ b/src/test/java/cypressvalve/soak/ReleaseToHostTest.java
@@ -39,4 +39,24 @@
         assertEquals(SESSIONS, record.count(Event.Kind.SESSION_ENDED_BY_GATEWAY), () -> String.join("\n", gateway.log()));
         assertRulesKept();
     }
+
+    /** Guards against a release that waits for its host as the process, which has nothing else to do, ends by itself after SIGTERM. */
+    @Test
+    void aReleaseThatWaitsForItsHostDuringShutdownIsSaidBeforeTheProcessEnds() throws Exception {
+        start(1, 900, PATIENCE_MILLIS);
+        ClientEmulator client = client("client");
+        ClientEmulator.SetUp request = request(PATIENCE_MILLIS);
+        client.send(request);
+        assertTrue(record.await(Event.Kind.ANSWER_SERVED, 1, MOST_MILLIS), "not served");
+        hosts.get(0).unreachable(true);
+        hosts.get(0).resetConnections();
+        TimeUnit.MILLISECONDS.sleep(100); // The client's own pace.
+        client.cancel(request.id());
+        client.close();
+        gateway.terminate();
+        TimeUnit.MILLISECONDS.sleep(PATIENCE_MILLIS); // No sooner than 0.7 s after this the process may be killed.
+        hosts.get(0).unreachable(false);
+        record.await(Event.Kind.SESSION_ENDED_BY_GATEWAY, 1, MOST_MILLIS);
+        assertEquals(1, record.count(Event.Kind.SESSION_ENDED_BY_GATEWAY), () -> String.join("\n", gateway.log()));
+    }
 }
