A client's release that crosses the close of its connection during shutdown is taken

Seen by callers: a client ends its session just as the gateway closes the connection, 0.7 s before the earliest kill; the session stands at its media host for good. Cause: Duplex.linger dropped all that came behind the gateway's own end of the stream. A set-up that crosses such a close is sent again on another connection, by the protocol; a release is not, as a standing session belongs to no connection. Change: what comes on a lingering connection is still read; releases and their acknowledgements are taken, all else is left.

--- a/src/main/java/cypressvalve/front/signal/SignalFront.java
+++ b/src/main/java/cypressvalve/front/signal/SignalFront.java
@@ -535,6 +535,10 @@
                     take(signal);
                     signal = reader.next(data);
                 }
+                while (signal != null && duplex.lingers()) {
+                    takeBehindClose(signal);
+                    signal = reader.next(data);
+                }
                 if (!begun && reader.within()) {
                     partialSince = core.clock().now();
                 }
@@ -567,6 +571,13 @@
             }
         }
 
+        /** What concerns sessions belongs to no connection, and its client says it once; a set-up is sent again on another. */
+        private void takeBehindClose(Signal signal) throws Signal.Unreadable {
+            if (signal.type() == Signal.RELEASE || signal.type() == Signal.RELEASE_HEARD) {
+                take(signal);
+            }
+        }
+
         private void markGood() {
             if (!good) {
                 good = true;
--- a/src/main/java/cypressvalve/net/Duplex.java
+++ b/src/main/java/cypressvalve/net/Duplex.java
@@ -132,7 +132,7 @@
                     return bytes;
                 }
                 bytes += n;
-                if (!closing) {
+                if (!closing || lingering) {
                     handOver(copyOfRead());
                 }
             }
@@ -262,8 +262,9 @@
     }
 
     /**
-     * Writes what waits and ends this side's stream; what still comes is dropped until the peer ends its own, or {@link #close} is
-     * called. A close with bytes unread resets the connection, by which the peer may lose what was written last.
+     * Writes what waits and ends this side's stream; what still comes is taken until the peer ends its own, or {@link #close} is
+     * called, and its taker is not told of the end. A close with bytes unread resets the connection, by which the peer may lose what was
+     * written last.
      */
     public void linger() {
         closing = true;
@@ -273,11 +274,16 @@
         }
     }
 
-    /** Whether what comes is still taken. */
+    /** Whether what comes is still taken and can be answered. */
     public boolean takes() {
         return !closed && !closing;
     }
 
+    /** Whether this side has ended its stream by {@link #linger}, and what comes is still taken. */
+    public boolean lingers() {
+        return !closed && lingering;
+    }
+
     /** Whether it is closed on both sides. */
     public boolean isClosed() {
         return closed;
