A cancel stays owed to its media host until that has read it, however long that takes

Cause: every 250 ms what was unread was thinned to the set-ups whose late answer was still waited for, 30 s; a host that stands still for longer, answers, and breaks the connection before it reads the cancel would keep the session. Change: a cancel goes with its proof or with the attempt's own answer alone; one that is not said again, as a further attempt of the session is out at that host, is told by an event.

--- a/src/main/java/cypressvalve/host/rtsp/AnswerHistory.java
+++ b/src/main/java/cypressvalve/host/rtsp/AnswerHistory.java
@@ -2,7 +2,6 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import java.util.Set;
 
 /**
  * What became of set-ups on one connection to a media host, by session, for as long as a late or a second answer of them may come: longer
@@ -28,11 +27,6 @@
         return cancelled.containsKey(session);
     }
 
-    /** Sessions of which a cancelled set-up's answer may still come. */
-    Set<String> cancelledSessions() {
-        return cancelled.keySet();
-    }
-
     /** The answer to a cancelled set-up has come; whether one was due. */
     boolean takeCancelled(String session) {
         return cancelled.remove(session) != null;
--- a/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
+++ b/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
@@ -787,7 +787,6 @@
             }
             for (HostConnection connection : List.copyOf(connections)) {
                 connection.history.expire(now);
-                connection.unread.keepCancelsOf(connection.history.cancelledSessions());
                 connection.endIfOfNoUse(now);
             }
             if (connections.isEmpty()) {
@@ -1202,6 +1201,8 @@
                     if (connection != null) {
                         connection.history.cancelled(session, System.nanoTime());
                     }
+                } else {
+                    pool.dropped(session, "a further attempt of it is out there");
                 }
             }
         }
@@ -1340,7 +1341,7 @@
             Attempt attempt = answer.attempt;
             String session = attempt.order.playback();
             attempt.finish(Verdict.OK);
-            if (history.takeCancelled(session)) {
+            if (takeCancelled(session)) {
                 history.ambiguous(session, life.heardAt());
             }
             attempt.result.started(answer.report, answer.description);
@@ -1443,13 +1444,13 @@
         private void answeredLate(Rtsp message) {
             String session = message.session();
             if (message.status() == 200) {
-                if (history.takeCancelled(session)) {
+                if (takeCancelled(session)) {
                     history.refused(session, life.heardAt());
                     sendOnAny(released(session));
                 }
                 return;
             }
-            if (history.takeCancelled(session)) {
+            if (takeCancelled(session)) {
                 history.refused(session, life.heardAt());
             }
             if (history.takeAmbiguous(session)) {
@@ -1460,6 +1461,12 @@
             cancelRead(session);
         }
 
+        /** Whether the answer to a cancelled set-up was due, which has come: what is owed for that is told by the answer. */
+        private boolean takeCancelled(String session) {
+            boolean unreadCancel = unread.forgetCancel(session);
+            return history.takeCancelled(session) || unreadCancel;
+        }
+
         private void cancelRead(String session) {
             Attempt attempt = cancelled.get(session);
             if (attempt != null) {
--- a/src/main/java/cypressvalve/host/rtsp/UnreadMessages.java
+++ b/src/main/java/cypressvalve/host/rtsp/UnreadMessages.java
@@ -5,7 +5,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.Predicate;
 
 /**
@@ -50,9 +49,9 @@
         return taken;
     }
 
-    /** Cancels of other sessions are no longer of interest. */
-    void keepCancelsOf(Set<String> sessions) {
-        cancels.keySet().retainAll(sessions);
+    /** The cancelled attempt's answer has come; returns whether its cancel was not known to be read. */
+    boolean forgetCancel(String session) {
+        return cancels.remove(session) != null;
     }
 
     /** What ends sessions and may be unread; it is owed by the caller from now on. */
