Soak: what stands at a media host and no client got is left standing, too

Need: the check on sessions left standing looked at those alone that a client had been served; one whose request was refused, cancelled or served from another host stood unseen. Change: SessionChecker.leftStanding judges each session that stands at a host as the record ends. A client that leaves its connection ends nothing, as the answer may cross that and a session belongs to no connection. The emulated host forgets a session whose answer it could not write: its connection had ended, by which the set-up was given up.

--- a/src/main/java/cypressvalve/soak/HostSessions.java
+++ b/src/main/java/cypressvalve/soak/HostSessions.java
@@ -51,6 +51,11 @@
         standing.put(session, new Standing(session, String.valueOf(path.owner()), path));
     }
 
+    /** Its answer could not be written, as its connection has ended: the set-up was given up with that. */
+    synchronized void unanswered(String session) {
+        standing.remove(session);
+    }
+
     synchronized boolean stands(String session) {
         return standing.containsKey(session);
     }
--- a/src/main/java/cypressvalve/soak/MediaHostEmulator.java
+++ b/src/main/java/cypressvalve/soak/MediaHostEmulator.java
@@ -430,8 +430,13 @@
             sessions.begun(session, attempt.connection());
         }
         byte[] answer = RtspMessage.response(200, "1", session, "", description(session).getBytes(StandardCharsets.ISO_8859_1));
-        for (int i = 0; i < copies; i++) {
-            attempt.connection().answer(answer);
+        try {
+            for (int i = 0; i < copies; i++) {
+                attempt.connection().answer(answer);
+            }
+        } catch (IOException e) {
+            sessions.unanswered(session);
+            throw e;
         }
         return true;
     }
--- a/src/main/java/cypressvalve/soak/SessionChecker.java
+++ b/src/main/java/cypressvalve/soak/SessionChecker.java
@@ -76,22 +76,33 @@
         return owed().stream().filter(owed -> toldAt(owed.story()) == NEVER).toList();
     }
 
-    /** The sessions that stand at their media hosts as the record ends, though they have been over for their clients for long. */
+    /** The sessions that stand at media hosts as the record ends, though they have been over for their clients, or none of theirs, for long. */
     List<Untold> leftStanding() {
         long end = recordEnd();
         List<Untold> left = new ArrayList<>();
         byRequest.forEach((request, story) -> {
-            long over = Math.min(toldAt(story), endedByClientAt(story));
-            Optional<Event> answer = first(story, Event.Kind.ANSWER_SERVED);
-            boolean stands = answer.isPresent() && story.stream().anyMatch(e -> e.kind() == Event.Kind.SESSION_STANDS
-                && e.party().equals(hostOf(answer.get(), story)));
-            if (stands && over < end - OVER_WITHIN_MICROS && duties(story).stream().allMatch(duty -> endOf(duty.process()) == NEVER)) {
+            boolean killed = duties(story).stream().anyMatch(duty -> endOf(duty.process()) != NEVER);
+            long over = story.stream().filter(e -> e.kind() == Event.Kind.SESSION_STANDS).mapToLong(e -> overAt(e.party(), story)).min().orElse(NEVER);
+            if (!killed && over < end - OVER_WITHIN_MICROS) {
                 left.add(new Untold(request, "", over, over + OVER_WITHIN_MICROS, story));
             }
         });
         return left;
     }
 
+    /** Since when what stands at that host is over for its client; where the client plays from another host, or was not served, since it was told so. */
+    private static long overAt(String host, List<Event> story) {
+        Optional<Event> answer = first(story, Event.Kind.ANSWER_SERVED);
+        if (answer.isPresent() && !hostOf(answer.get(), story).equals(host)) {
+            return answer.get().atMicros();
+        }
+        if (answer.isPresent()) {
+            return Math.min(toldAt(story), endedByClientAt(story));
+        }
+        return story.stream().filter(e -> e.kind() == Event.Kind.ANSWER_REFUSED || endsSession(e)) // An answer may cross one that leaves.
+            .mapToLong(Event::atMicros).min().orElse(NEVER);
+    }
+
     /** How many ends were owed. */
     int judged() {
         return owed().size();
--- a/src/test/java/cypressvalve/soak/SessionCheckerTest.java
+++ b/src/test/java/cypressvalve/soak/SessionCheckerTest.java
@@ -129,4 +129,27 @@
         assertEquals(KEPT, brokenAtTheEnd(9 * SECOND + 50_001, ended, new Event(SECOND, Event.Kind.SIGNAL, "g.0", "", "KILL")));
         assertEquals(KEPT, brokenAtTheEnd(9 * SECOND + 50_001), "it stands for its client, too");
     }
+
+    /** Guards against sessions that stand at a host which made one that no client got. */
+    @Test
+    void whatNoClientGotStandsNowhereAfterEightSeconds() {
+        Event other = event(SECOND, Event.Kind.ATTEMPT_SERVED, "h", "v=0 h bb");
+        Event refused = event(SECOND, Event.Kind.ANSWER_REFUSED, "c", "41");
+        Event elsewhere = event(SECOND, Event.Kind.ANSWER_SERVED, "c", "v=0 i bb");
+        Event made = event(SECOND, Event.Kind.ATTEMPT_SERVED, "i", "v=0 i bb");
+        Event cancelled = event(SECOND, Event.Kind.REQUEST_CANCELLED, "c", "");
+        for (List<Event> story : List.of(List.of(other, refused), List.of(other, made, elsewhere), List.of(other, cancelled))) {
+            assertEquals(KEPT, standsAt(9 * SECOND + 50_000, story));
+            assertEquals(List.of(RecordChecker.Rule.LEFT_STANDING), standsAt(9 * SECOND + 50_001, story));
+        }
+        Event left = event(SECOND, Event.Kind.REQUEST_CANCELLED, "c", ClientEmulator.LEFT);
+        assertEquals(KEPT, standsAt(9 * SECOND + 50_001, List.of(other, left)), "its answer may have crossed that, and belongs to no connection");
+    }
+
+    private static List<RecordChecker.Rule> standsAt(long end, List<Event> story) {
+        List<Event> all = new ArrayList<>(List.of(new Event(0, Event.Kind.CLIENT_CONNECTED, "c", "", "g.0"), event(1, Event.Kind.REQUEST_SENT, "c", "9000")));
+        all.addAll(story);
+        all.add(event(end, Event.Kind.SESSION_STANDS, "h", ""));
+        return RecordChecker.check(all).stream().map(RecordChecker.Violation::rule).toList();
+    }
 }
