A set-up whose answer may be lost with its connection is ended at its media host

Cause: where a connection became unreadable, was reset, broke off within a message or was aborted, only set-ups cancelled before were owed an end elsewhere. The others counted as given up with the connection, though a host that had written its answer holds a session, which belongs to no connection. Change: HostConnection.oweCancels: each set-up that had left and has no answer is owed like a cancel as its connection ends in one of these ways, and goes out on another connection, before any further attempt there. Not where the host ended the connection in order: all that it said was read. Tests: ConnectionEndsTest, two new ones, both failed before (no connection within 10 s). RtspHostClientTest#afterSpoiltBytes... read the next set-up as the first message of the next connection; what is owed for the one before stands ahead of it now, and the test wants both, in that order.

--- a/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
+++ b/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
@@ -1025,6 +1025,7 @@
             }
             pool.repeats.givenUpInSilence();
             close(CloseReason.CANCEL_UNREAD, duplex::abort);
+            oweCancels();
             resendUnread();
             ended(Verdict.TIMEOUT, false);
             pool.connectionEnded();
@@ -1196,7 +1197,7 @@
         private void resendUnread() {
             unread.takeEndings().forEach(pool::send);
             for (String session : unread.takeCancels()) {
-                if (pool.connections.stream().noneMatch(connection -> connection.attempts.containsKey(session))) {
+                if (pool.connections.stream().noneMatch(connection -> connection != this && connection.attempts.containsKey(session))) {
                     HostConnection connection = pool.send(released(session));
                     if (connection != null) {
                         connection.history.cancelled(session, System.nanoTime());
@@ -1207,6 +1208,12 @@
             }
         }
 
+        /** Set-ups that have left and whose answers may be lost with the connection: their sessions may stand. */
+        private void oweCancels() {
+            attempts.values().stream().filter(attempt -> attempt.sent != null && !duplex.waits(attempt.sent))
+                .forEach(attempt -> unread.cancelled(attempt.order.playback(), proofs.written()));
+        }
+
         private void write(byte[] message) {
             life.used(System.nanoTime());
             duplex.write(message);
@@ -1256,6 +1263,9 @@
             ConnectionLife.State before = life.state();
             close(duplex.endedByPeer() ? CloseReason.BY_HOST : CloseReason.WRITE_QUEUE_FULL, () -> { });
             judgeHeldAtEnd(before);
+            if (!duplex.endedByPeer() || duplex.resetByPeer() || reader.within()) {
+                oweCancels();
+            }
             resendUnread();
             ended(Verdict.BROKEN, duplex.endedByPeer());
             if (lost) {
@@ -1293,6 +1303,7 @@
         private void unreadable(String why) {
             life.discard();
             List.copyOf(held.values()).forEach(answer -> answer.attempt.answerRefused(Verdict.BROKEN));
+            oweCancels();
             resendUnread();
             ended(Verdict.BROKEN, false);
             note(EventKind.HOST_UNREADABLE, why);
--- a/src/test/java/cypressvalve/host/rtsp/ConnectionEndsTest.java
+++ b/src/test/java/cypressvalve/host/rtsp/ConnectionEndsTest.java
@@ -12,6 +12,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -134,6 +135,42 @@
         }
     }
 
+    private static void assertReleased(Socket line, String id) throws IOException {
+        line.setSoTimeout(10_000);
+        String said = message(reader(line));
+        assertTrue(said.startsWith(RELEASE) && said.contains(id), said);
+    }
+
+    /** Guards against sessions that stand by an answer behind another one that can't be read. */
+    @Test
+    void aSetUpWhoseConnectionBecomesUnreadableIsEndedAtItsHostAsItsAnswerMayBeAmongTheRest() throws Exception {
+        onLoop(() -> setUp("00000000000000aa"));
+        Socket line = server.accept();
+        BufferedReader in = reader(line);
+        assertTrue(message(in).contains("00000000000000aa"));
+        say(line, "RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: 00000000000000aa", "mine");
+        assertEquals("started 00000000000000aa mine", told.take());
+        onLoop(() -> setUp("00000000000000bb"));
+        assertTrue(message(in).contains("00000000000000bb"));
+        line.getOutputStream().write("\u0001 noise\r\n\r\nRTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: 00000000000000bb\r\nContent-Length: 6\r\n\r\nmine\r\n"
+            .getBytes(StandardCharsets.ISO_8859_1));
+        try (Socket next = server.accept()) {
+            assertReleased(next, "00000000000000bb");
+        }
+    }
+
+    /** Guards against sessions that stand by an answer that was lost with its connection. */
+    @Test
+    void aSetUpWhoseConnectionIsResetIsEndedAtItsHostAsItsAnswerMayBeLost() throws Exception {
+        Socket line = carriesASetUp("00000000000000aa");
+        line.setSoLinger(true, 0);
+        line.close();
+        assertEquals("back 00000000000000aa BROKEN", told.take());
+        try (Socket next = server.accept()) {
+            assertReleased(next, "00000000000000aa");
+        }
+    }
+
     @Test
     void connectionsThatHostsDoNotEndAreBoundToo() throws Exception {
         int hosts = MOST_LINES + 2 * RtspHostClient.MAX_ENDING;
--- a/src/test/java/cypressvalve/host/rtsp/RtspHostClientTest.java
+++ b/src/test/java/cypressvalve/host/rtsp/RtspHostClientTest.java
@@ -90,7 +90,10 @@
         assertEquals("back 00000000000000aa BROKEN", told.take());
         onLoop(() -> setUp("00000000000000bb"));
         try (Socket socket = server.accept()) {
-            assertTrue(message(reader(socket)).contains("00000000000000bb"));
+            BufferedReader in = reader(socket);
+            String owed = message(in);
+            assertTrue(owed.startsWith(RELEASE) && owed.contains("00000000000000aa"), "its session may stand: " + owed);
+            assertTrue(message(in).contains("00000000000000bb"));
         }
         assertEquals("back 00000000000000bb BROKEN", told.take());
     }
