A connection that came up while the process stood still is read, not counted as never up

Cause: RtspHostClient's connect timer closed a connection that the loop had not looked at since it began it: timers that are due run before sockets are read. The host's side was up and had written the end there; the repeat went to the next such connection. Change: when its time is up, a connection counts as never up only after the loop has looked at its sockets once more. Test: GivenUpConnectionsTest#anEndOnAConnectionThatCameUpWhileTheLoopStoodStillIsRead failed before (nothing told within 1 s), passes now.

--- a/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
+++ b/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
@@ -66,7 +66,7 @@
     public static final int MAX_ENDING = ConnectionBudget.MAX_ENDING;
     /** A connection whose host has not answered its first attempt is taken after all others. */
     private static final int AWAITS_LIFE_LOAD = 1_000;
-    /** An attempt whose client has said more than is read at once is looked at again after this. */
+    /** After this the loop has looked at its sockets again, and read what had come. */
     private static final long READ_AGAIN = 1_000_000L;
     private static final long NEVER = EndRepeats.NEVER;
     /** To a host that carries sessions, and whose process has taken none of so many connections for a while, set-ups open no more. */
@@ -841,7 +841,7 @@
             connecting = thread.openStreamConnection(
                 new InetSocketAddress(pool.address.host(), pool.address.port()), this::opened,
                 Duplex.CONNECT_OPTIONS);
-            timer = after(limits.connectTimeout(), this::unreached);
+            timer = after(limits.connectTimeout(), this::connectTimeUp);
             connecting.addNotifier((future, nothing) -> {
                 if (future.getStatus() == IoFuture.Status.FAILED) {
                     thread.execute(this::unreached);
@@ -902,6 +902,11 @@
             List.copyOf(attempts.values()).forEach(this::sendInNextTurn);
         }
 
+        /** On a late loop it may have come up long ago, which the loop sees before its next timers. */
+        private void connectTimeUp() {
+            after(READ_AGAIN, this::unreached);
+        }
+
         private void unreached() {
             if (life.hasComeUp() || life.isClosed()) {
                 return;
--- a/src/test/java/cypressvalve/host/rtsp/GivenUpConnectionsTest.java
+++ b/src/test/java/cypressvalve/host/rtsp/GivenUpConnectionsTest.java
@@ -14,6 +14,7 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -55,6 +56,31 @@
         assertEquals("ended " + session + " OK", told.poll(RELEASED_WITHIN_MILLIS, TimeUnit.MILLISECONDS));
     }
 
+    /** Guards against ends on connections that came up while this process stood still, and that counted as never up as it went on. */
+    @Test
+    void anEndOnAConnectionThatCameUpWhileTheLoopStoodStillIsRead() throws Exception {
+        startTestingClient();
+        CountDownLatch goesOn = new CountDownLatch(1);
+        worker.getIoThread().execute(() -> {
+            used.follow(host, true);
+            awaitGoingOn(goesOn);
+        });
+        try (Socket first = server.accept()) {
+            say(first, end(SESSION), "");
+            TimeUnit.NANOSECONDS.sleep(2 * CONNECT_TIMEOUT); // How long the process stands still.
+            goesOn.countDown();
+            assertToldInTime(SESSION);
+        }
+    }
+
+    private static void awaitGoingOn(CountDownLatch goesOn) {
+        try {
+            goesOn.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** Guards against ends on a connection that was given back before its host stood still, as that had spoken on another since. */
     @Test
     void anEndOnAConnectionGivenBackIsReadHoweverLateItsHostGoesOn() throws Exception {
