What a gateway can't take over is told again where its connection breaks

Seen by callers: a session that is handed over at a media host which is not known, or has gone, is told to its client once, on that connection alone; where that breaks, never. Cause: SignalFront.handOver wrote the release straight to the connection, past what remembers ends until they were heard. Found by reading on the path of the incident (restarts, hosts that have gone). Change: it goes by sendRelease like every other end. Test: PlatformEndsTest#whatCannotBeTakenOverIsToldAgainWhereItsConnectionBreaks failed before (nothing came on the other connection), passes now.

--- a/src/main/java/cypressvalve/front/signal/SignalFront.java
+++ b/src/main/java/cypressvalve/front/signal/SignalFront.java
@@ -659,7 +659,7 @@
             boolean ended = earlyReleases.remove(signal.session());
             if (request.session == null) {
                 standing.remove(request);
-                duplex.write(Signal.message(Signal.RELEASE, signal.session(), FAILURE));
+                sendRelease(this, signal.session(), Signal.message(Signal.RELEASE, signal.session(), FAILURE));
             } else if (ended) {
                 core.end(request.session);
             }
--- a/src/test/java/cypressvalve/run/PlatformEndsTest.java
+++ b/src/test/java/cypressvalve/run/PlatformEndsTest.java
@@ -297,6 +297,18 @@
         }
     }
 
+    /** Guards against sessions that are handed over at a host that is not known, and whose client is told of their end on a connection that breaks. */
+    @Test
+    void whatCannotBeTakenOverIsToldAgainWhereItsConnectionBreaks() throws Exception {
+        try (Socket first = viewer(); Socket second = viewer()) {
+            settled(second);
+            first.getOutputStream().write(setUp(8, "a", HOME + ";at:h-9"));
+            assertEquals("12 8 41", heard(first));
+            reset(first);
+            assertEquals("12 8 41", heard(second));
+        }
+    }
+
     private static String event(int number, String state, long startedMs) {
         return "id: " + number + "\ndata: {\"index\":" + number + ",\"endpoints\":{\"generation\":2,\"reset\":false,\"instances\":["
             + "{\"instanceId\":\"h-1\",\"hostPort\":\"127.0.0.1:PORT\",\"zone\":\"z\",\"machineType\":\"std\",\"cell\":0,\"lifecycle\":\""
