The end of an earlier attempt's session is no proof that the next attempt there is over

Cause: RtspHostClient took any release of a session with an open attempt for that attempt's end. The host had served the first attempt, ended the session at once, closed its connection and said the end on the one that carried the second attempt by then; the second counted as over and a third left 0.4 ms later, while the second was out. Change: where an earlier attempt's end is owed on that connection, such a release proves nothing of the open attempt: that is cancelled, and over by proof. Test: ConnectionEndsTest#theEndOfAnEarlierAttemptsSessionIsNoProofThatTheNextAttemptAtThatHostIsOver failed before (no cancel within 10 s), passes now.

--- a/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
+++ b/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
@@ -1502,7 +1502,10 @@
                         case WITHDRAWN -> Verdict.WITHDRAWN;
                         default -> Verdict.BROKEN;
                     };
-                    if (attempt != null) {
+                    if (attempt != null && history.mayAnswerCancelled(message.session())) {
+                        noteRelease(message.session(), "of this attempt, or of the session of one before");
+                        attempt.answerRefused(Verdict.BROKEN);
+                    } else if (attempt != null) {
                         noteRelease(message.session(), "ends the attempt");
                         attempt.cameBack(Verdict.BROKEN, Occupancy.read(message.field("x-occupancy")));
                     } else {
--- a/src/test/java/cypressvalve/host/rtsp/ConnectionEndsTest.java
+++ b/src/test/java/cypressvalve/host/rtsp/ConnectionEndsTest.java
@@ -171,6 +171,27 @@
         }
     }
 
+    /** Guards against two attempts out at once: what ends the session of the one before was taken for the end of the one that followed there. */
+    @Test
+    void theEndOfAnEarlierAttemptsSessionIsNoProofThatTheNextAttemptAtThatHostIsOver() throws Exception {
+        Socket first = carriesASetUp("00000000000000aa");
+        first.setSoLinger(true, 0);
+        first.close();
+        assertEquals("back 00000000000000aa BROKEN", told.take());
+        try (Socket next = server.accept()) {
+            next.setSoTimeout(10_000);
+            BufferedReader in = reader(next);
+            assertTrue(message(in).startsWith(RELEASE));
+            onLoop(() -> setUp("00000000000000aa"));
+            assertTrue(message(in).startsWith("SETUP"));
+            say(next, END, "");
+            assertTrue(message(in).startsWith("RTSP/1.0 200"));
+            assertTrue(message(in).startsWith(RELEASE), "the attempt is cancelled");
+            assertTrue(told.isEmpty(), "its host may hold it still");
+        }
+        assertEquals("back 00000000000000aa BROKEN", told.take());
+    }
+
     @Test
     void connectionsThatHostsDoNotEndAreBoundToo() throws Exception {
         int hosts = MOST_LINES + 2 * RtspHostClient.MAX_ENDING;
