--- a/src/main/java/cypressvalve/cli/SoakCommand.java
+++ b/src/main/java/cypressvalve/cli/SoakCommand.java
@@ -39,6 +39,9 @@
     @Option(names = "--standstill", description = "hundreds of sessions at media hosts that are processes, stopped and continued")
     private boolean standstill;
 
+    @Option(names = "--crowded", description = "with --standstill: larger crowds, mostly on part of a core, and hosts that take connections late or reset new ones")
+    private boolean crowded;
+
     @Spec
     private CommandSpec spec;
 
@@ -71,15 +74,19 @@
         for (long seed = from; seed <= to; seed++) {
             Path dir = Files.createTempDirectory("soak");
             try {
-                StandstillTrial.Outcome outcome = StandstillTrial.run(StandstillPlan.draw(seed), dir);
+                StandstillTrial.Outcome outcome = StandstillTrial.run(crowded ? StandstillPlan.drawCrowded(seed) : StandstillPlan.draw(seed), dir);
                 List<String> violations = outcome.violations();
                 broken += violations.isEmpty() ? 0 : 1;
                 out().println("seed " + seed + ": " + outcome.served() + " of " + outcome.requests() + " served, " + outcome.ends() + " ends, "
                     + (violations.isEmpty() ? "all told in time" : violations.size() + " not told in time") + "; " + outcome.plan().descriptors()
                     + " descriptors, " + outcome.plan().streams() + " set-ups a connection, hosts may " + (outcome.plan().mayTestHosts() ? "" : "not ") + "be tested, "
-                    + outcome.plan().killed().size() + " die; "
+                    + outcome.plan().killed().size() + " die; crowds of "
+                    + outcome.plan().crowd() + " on " + outcome.plan().corePercent() + "% of a core, " + outcome.plan().habits() + "; "
                     + outcome.closes());
                 violations.forEach(out()::println);
+                if (!violations.isEmpty()) {
+                    outcome.counts().forEach(out()::println);
+                }
                 out().flush();
             } finally {
                 delete(dir);
--- a/src/main/java/cypressvalve/host/rtsp/ConnectionLife.java
+++ b/src/main/java/cypressvalve/host/rtsp/ConnectionLife.java
@@ -167,6 +167,10 @@
         return Math.max(upAt, heardAt);
     }
 
+    long begunAt() {
+        return begunAt;
+    }
+
     long upAt() {
         return upAt;
     }
--- a/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
+++ b/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
@@ -97,6 +97,8 @@
     private final ConnectionBudget<HostConnection> budget;
     /** Closes by reason since they were told last. */
     private final Map<CloseReason, Integer> closes = new EnumMap<>(CloseReason.class);
+    /** The longest time from the begin of a connection to when it was seen to be up, in nanoseconds, since it was told last. */
+    private long longestConnect;
     /** By host, as long as it has connections or is followed. */
     private final Map<Long, ConnectionPool> pools = new LinkedHashMap<>();
     private long probes;
@@ -163,9 +165,10 @@
         return Stream.concat(pools.values().stream(), replaced.stream()).anyMatch(pool -> pool.outbound.owesEndings());
     }
 
-    /** For the log: how many may be held, and why connections were given up since this was asked for last. */
+    /** For the log: how many may be held, how long one took to come up at most, and why they were given up since this was asked for last. */
     public String connectionsLine() {
-        String line = "of " + budget.maxConnections() + " closes " + closes;
+        String line = "of " + budget.maxConnections() + " up within " + TimeUnit.NANOSECONDS.toMillis(longestConnect) + " ms closes " + closes;
+        longestConnect = 0;
         closes.clear();
         return line;
     }
@@ -856,6 +859,7 @@
                 return;
             }
             life.cameUp(System.nanoTime());
+            longestConnect = Math.max(longestConnect, life.upAt() - life.begunAt());
             pool.connectedAt = life.upAt();
             note(EventKind.HOST_CONNECTED, null);
             duplex = new Duplex(channel, buffer, MAX_QUEUED_BYTES, this);
--- /dev/null
+++ b/src/main/java/cypressvalve/net/PollCycles.java
@@ -0,0 +1,110 @@
+package cypressvalve.net;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.xnio.ChannelPipe;
+import org.xnio.IoUtils;
+import org.xnio.XnioIoThread;
+import org.xnio.channels.StreamSinkChannel;
+import org.xnio.channels.StreamSourceChannel;
+
+/**
+ * Tells when an I/O thread has polled its sockets. Such a thread runs tasks and due timers until there are none, and polls only then: neither
+ * a time nor a task behind others shows that it has. The mark is the writing end of an empty pipe, which every poll that it takes part in
+ * finds ready, together with all sockets that are. Used on the thread only, but for its making and its closing.
+ */
+public final class PollCycles implements AutoCloseable {
+    private static final long SAMPLE_MILLIS = 25;
+    private static final long UNMARKED_MILLIS = 1;
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
+    private final XnioIoThread thread;
+    private final StreamSourceChannel readEnd;
+    private final StreamSinkChannel mark;
+    /** What runs after the poll that the mark takes part in next. */
+    private List<Runnable> armed = new ArrayList<>();
+    /** What came since the mark was armed: the poll that finds it ready may have begun before. */
+    private List<Runnable> later = new ArrayList<>();
+    /** A system whose polls do not find the mark ready has it replaced by a time. */
+    private boolean markWorks;
+    private long completed;
+    private long longestNanos;
+    private volatile boolean closed;
+
+    /** Throws UncheckedIOException where the system has no pipe left. */
+    public PollCycles(XnioIoThread thread) {
+        this.thread = thread;
+        try {
+            ChannelPipe<StreamSourceChannel, StreamSinkChannel> pipe = thread.createHalfDuplexPipe();
+            readEnd = pipe.getLeftSide();
+            mark = pipe.getRightSide();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        mark.getWriteSetter().set(channel -> polled());
+        thread.execute(mark::resumeWrites);
+        sampleLater();
+    }
+
+    /** The thread whose polls these are. */
+    public XnioIoThread thread() {
+        return thread;
+    }
+
+    /** Runs the task once a poll that began after this call is over, and all that it found ready has been seen to. */
+    public void afterNext(Runnable task) {
+        if (!markWorks) {
+            thread.executeAfter(task, UNMARKED_MILLIS, TimeUnit.MILLISECONDS);
+        } else if (armed.isEmpty()) {
+            armed.add(task);
+            mark.resumeWrites();
+        } else {
+            later.add(task);
+        }
+    }
+
+    /** How many polls were marked so far; at least one in each sampling interval of a thread that polls. */
+    public long completed() {
+        return completed;
+    }
+
+    /** The longest time in milliseconds from when a poll was due to its end, since this was asked for last. */
+    public long longestMillis() {
+        long longest = longestNanos / NANOS_PER_MILLI;
+        longestNanos = 0;
+        return longest;
+    }
+
+    private void polled() {
+        markWorks = true;
+        completed++;
+        List<Runnable> due = armed;
+        armed = later;
+        later = new ArrayList<>();
+        if (armed.isEmpty()) {
+            mark.suspendWrites();
+        }
+        due.forEach(thread::execute); // Tasks run once all that was found ready has been seen to.
+    }
+
+    private void sampleLater() {
+        thread.executeAfter(() -> {
+            if (!closed) {
+                long due = System.nanoTime();
+                afterNext(() -> {
+                    longestNanos = Math.max(longestNanos, System.nanoTime() - due);
+                    sampleLater();
+                });
+            }
+        }, SAMPLE_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        IoUtils.safeClose(mark, readEnd);
+    }
+}
--- a/src/main/java/cypressvalve/run/Counts.java
+++ b/src/main/java/cypressvalve/run/Counts.java
@@ -47,9 +47,13 @@
         latest = Math.max(latest, waited);
     }
 
-    /** The line, and nothing counted any more. */
-    String line() {
-        String line = "late " + latest / 1_000_000 + " ms " + counts;
+    /**
+     * The line, and nothing counted any more.
+     *
+     * @param longestPollMillis the longest that a poll of the sockets took from when it was due
+     */
+    String line(long longestPollMillis) {
+        String line = "late " + latest / 1_000_000 + " ms, sockets late " + longestPollMillis + " ms " + counts;
         counts.clear();
         latest = 0;
         return line;
--- a/src/main/java/cypressvalve/run/PlatformNode.java
+++ b/src/main/java/cypressvalve/run/PlatformNode.java
@@ -15,6 +15,7 @@
 import cypressvalve.host.AttemptGuard;
 import cypressvalve.host.HostLimits;
 import cypressvalve.host.rtsp.RtspHostClient;
+import cypressvalve.net.PollCycles;
 import cypressvalve.session.Clock;
 import cypressvalve.session.Session;
 import cypressvalve.session.SessionCore;
@@ -74,6 +75,7 @@
     private final PlatformSettings settings;
     private final XnioWorker worker;
     private final XnioIoThread thread;
+    private final PollCycles polls;
     private final SessionCore core;
     private final RtspHostClient client;
     private final SignalFront front;
@@ -112,6 +114,7 @@
             throw new IllegalStateException(e);
         }
         thread = worker.getIoThread();
+        polls = new PollCycles(thread);
         ByteBuffer buffer = ByteBuffer.allocateDirect(BUFFER);
         int hosts = Math.max(1, settings.control().cells);
         int toOne = (int) Math.max(1, Math.min(MOST_TO_A_HOST, settings.sockets() * HOSTS_PART / hosts / 2));
@@ -232,7 +235,7 @@
             if (++sweeps % COUNTS_EVERY == 0) {
                 log.accept("playing " + core.held(Session.State.PLAYING) + " opening " + core.held(Session.State.OPENING)
                     + " viewers' connections " + front.connections() + " hosts' " + client.connections() + " "
-                    + client.connectionsLine() + " " + counts.line() + " invariants violated " + invariants.counts());
+                    + client.connectionsLine() + " " + counts.line(polls.longestMillis()) + " invariants violated " + invariants.counts());
             }
             sweepLater();
         }, SWEEP_MS, TimeUnit.MILLISECONDS);
@@ -251,6 +254,7 @@
             front.close();
             follower.close();
             client.close();
+            polls.close();
         });
         worker.shutdown();
     }
--- a/src/main/java/cypressvalve/soak/GatewayProcess.java
+++ b/src/main/java/cypressvalve/soak/GatewayProcess.java
@@ -26,6 +26,8 @@
     private static final List<String> JVM_OPTIONS = List.of("-Xmx96m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
         "-Djava.net.preferIPv4Stack=true");
     private static final String LOGS_EVENTS = "-Dcypressvalve.events=true";
+    /** The period in which a process gets its part of a core. */
+    private static final long CORE_PERIOD_MILLIS = 100;
     private static final String PEAK_MEMORY = "VmHWM:";
 
     private final String name;
@@ -126,6 +128,27 @@
         signal("HUP");
     }
 
+    /**
+     * Runs for its part of each period and stands still for the rest, again and again.
+     *
+     * @param percent hundredths of a core
+     * @param lengthMillis for how long; interrupted before, it goes on
+     */
+    void limitCore(int percent, long lengthMillis) throws IOException, InterruptedException {
+        long runsMillis = CORE_PERIOD_MILLIS * percent / 100;
+        long begun = System.nanoTime();
+        try {
+            while (TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - begun) < lengthMillis) {
+                suspend();
+                TimeUnit.MILLISECONDS.sleep(CORE_PERIOD_MILLIS - runsMillis);
+                resume();
+                TimeUnit.MILLISECONDS.sleep(runsMillis);
+            }
+        } finally {
+            resume();
+        }
+    }
+
     private void signal(String signal) throws IOException {
         record.add(Event.Kind.SIGNAL, name, "", signal);
         if (process.isAlive()) {
--- a/src/main/java/cypressvalve/soak/LoopMediaHost.java
+++ b/src/main/java/cypressvalve/soak/LoopMediaHost.java
@@ -7,6 +7,7 @@
 import java.io.PrintStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
@@ -16,7 +17,6 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -28,7 +28,7 @@
 /**
  * A media host as a process of its own with one event loop, to be stopped and continued by signals; for one gateway. As it goes on it sees to
  * what is due first and then to its sockets, so that it writes on what it takes for open. A release goes out on the connection of the set-up,
- * else on any open one, and again on the next connection that it takes; a write that fails at once is repeated elsewhere. What it does is
+ * else on any open one, and once more on the next connection that it takes; a write that fails at once is repeated elsewhere. What it does is
  * written to its standard output, a line each: nanoseconds of the system's monotonic clock, kind, session and detail.
  */
 public final class LoopMediaHost {
@@ -41,6 +41,9 @@
     private static final long ANSWER_MILLIS_PER_OPEN = 15;
     private static final int NORMAL_CLEARING = 16;
     private static final byte[] EMPTY = {};
+    private static final int PERCENT = 100;
+    private static final int MAX_LATE_MILLIS = 1_000;
+    private static final int MAX_RESET_MILLIS = 20;
     /** Before the port in the line that says where it listens. */
     static final String LISTENS = "LISTENS ";
 
@@ -48,6 +51,7 @@
 
     private final String name;
     private final long meanSessionMillis;
+    private final HostHabits habits;
     private final RandomGenerator chance;
     private final PrintStream story = System.out;
     private final Selector selector = Selector.open();
@@ -56,12 +60,14 @@
     private final Set<Connection> connections = new LinkedHashSet<>();
     private final Map<String, Connection> openSetUps = new HashMap<>();
     private final Map<String, Connection> sessions = new HashMap<>();
-    /** Releases that go out on connections that are still to come, with on how many. */
-    private final Map<String, Integer> repeats = new LinkedHashMap<>();
+    /** Releases that go out on the next connection, too. */
+    private final Set<String> repeats = new LinkedHashSet<>();
     private int accepted;
+    private boolean lastWasReset;
 
-    private LoopMediaHost(String name, long meanSessionMillis, long seed) throws IOException {
+    private LoopMediaHost(String name, long meanSessionMillis, long seed, HostHabits habits) throws IOException {
         this.name = name;
+        this.habits = habits;
         this.meanSessionMillis = meanSessionMillis;
         chance = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
         server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), BACKLOG);
@@ -70,9 +76,10 @@
         story.println(LISTENS + ((InetSocketAddress) server.getLocalAddress()).getPort());
     }
 
-    /** Arguments: name, mean length of sessions in milliseconds, seed. Runs until it is killed, or who started it has ended. */
+    /** Arguments: name, mean length of sessions in milliseconds, seed, and the two of {@link HostHabits}. Runs until it is killed, or who started it has ended. */
     public static void main(String[] arguments) throws IOException {
-        new LoopMediaHost(arguments[0], Long.parseLong(arguments[1]), Long.parseLong(arguments[2])).run();
+        new LoopMediaHost(arguments[0], Long.parseLong(arguments[1]), Long.parseLong(arguments[2]),
+            new HostHabits(Integer.parseInt(arguments[3]), Integer.parseInt(arguments[4]))).run();
     }
 
     private void run() throws IOException {
@@ -112,13 +119,26 @@
 
     private void acceptAll() throws IOException {
         for (SocketChannel channel = server.accept(); channel != null; channel = server.accept()) {
+            SocketChannel taken = channel;
+            if (chance.nextInt(PERCENT) < habits.latePercent()) {
+                after(chance.nextInt(MAX_LATE_MILLIS), () -> take(taken));
+            } else {
+                take(taken);
+            }
+        }
+    }
+
+    private void take(SocketChannel channel) {
+        try {
             Connection connection = new Connection(channel);
             connections.add(connection);
-            for (String session : List.copyOf(repeats.keySet())) {
-                if (release(session, connection)) {
-                    repeats.computeIfPresent(session, (id, left) -> left > 1 ? left - 1 : null);
-                }
+            repeats.removeIf(session -> release(session, connection));
+            lastWasReset = !lastWasReset && chance.nextInt(PERCENT) < habits.resetPercent();
+            if (lastWasReset) {
+                after(chance.nextInt(MAX_RESET_MILLIS), connection::reset);
             }
+        } catch (IOException e) {
+            note("-", "a connection that was taken has ended: " + e.getMessage());
         }
     }
 
@@ -134,7 +154,7 @@
         if (!released) {
             tell(Event.Kind.SESSION_OVER, session, "no connection is open");
         }
-        repeats.put(session, released ? 1 : 2);
+        repeats.add(session);
     }
 
     private boolean release(String session, Connection connection) {
@@ -244,6 +264,15 @@
             }
         }
 
+        private void reset() {
+            try {
+                channel.setOption(StandardSocketOptions.SO_LINGER, 0);
+            } catch (IOException e) {
+                note("-", describe() + " can't be reset: " + e.getMessage());
+            }
+            close("reset");
+        }
+
         private void close(String why) {
             if (open) {
                 open = false;
--- a/src/main/java/cypressvalve/soak/MediaHostProcess.java
+++ b/src/main/java/cypressvalve/soak/MediaHostProcess.java
@@ -34,14 +34,17 @@
      * Starts it; returns once it listens.
      *
      * @param meanSessionMillis how long its sessions stand in the mean
+     * @param habits how it takes connections
      */
-    MediaHostProcess(String name, long meanSessionMillis, long seed, EventRecord record, SignalSender signals) throws IOException {
+    MediaHostProcess(String name, long meanSessionMillis, long seed, HostHabits habits, EventRecord record, SignalSender signals)
+        throws IOException {
         this.name = name;
         this.record = record;
         this.signals = signals;
         process = ChildProcesses.start(new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx24m",
             "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Djava.net.preferIPv4Stack=true", "-cp", System.getProperty("java.class.path"),
-            LoopMediaHost.class.getName(), name, String.valueOf(meanSessionMillis), String.valueOf(seed)).redirectErrorStream(true));
+            LoopMediaHost.class.getName(), name, String.valueOf(meanSessionMillis), String.valueOf(seed),
+            String.valueOf(habits.latePercent()), String.valueOf(habits.resetPercent())).redirectErrorStream(true));
         BufferedReader in = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
         String first = in.readLine();
         if (first == null || !first.startsWith(LoopMediaHost.LISTENS)) {
--- a/src/main/java/cypressvalve/soak/SoakTrial.java
+++ b/src/main/java/cypressvalve/soak/SoakTrial.java
@@ -21,8 +21,6 @@
     private static final long MICROS_PER_MILLI = 1_000;
     private static final long KILOBYTES_PER_MEGABYTE = 1_024;
     private static final int SERIES_MILLIS = 150;
-    /** The period in which a process gets its part of a core. */
-    private static final int CORE_PERIOD_MILLIS = 100;
     /** The list tells of a host that died so much later. */
     private static final int DEATH_LISTED_MILLIS = 400;
     private static final int BAD_CLIENTS = 2;
@@ -350,23 +348,9 @@
         });
     }
 
-    /** It runs for its part of each period and stands still for the rest, again and again. */
     private void limitCore(GatewaySlot gateway, TrialPlan.Fault fault) {
         GatewayProcess process = gateway.process();
-        long runs = (long) CORE_PERIOD_MILLIS * fault.amount() / 100;
-        later(0, () -> {
-            long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(fault.lengthMillis());
-            try {
-                while (System.nanoTime() < until) {
-                    process.suspend();
-                    TimeUnit.MILLISECONDS.sleep(CORE_PERIOD_MILLIS - runs);
-                    process.resume();
-                    TimeUnit.MILLISECONDS.sleep(runs);
-                }
-            } finally {
-                process.resume();
-            }
-        });
+        later(0, () -> process.limitCore(fault.amount(), fault.lengthMillis()));
     }
 
     private void reload(GatewaySlot gateway) throws IOException, InterruptedException {
--- a/src/main/java/cypressvalve/soak/StandstillPlan.java
+++ b/src/main/java/cypressvalve/soak/StandstillPlan.java
@@ -15,14 +15,25 @@
  * @param crowdsAtMillis when a crowd of clients comes
  * @param killed numbers of the hosts that die
  * @param killedAtMillis when
+ * @param crowd clients that come at a time
+ * @param corePercent hundredths of a core that the gateway gets
+ * @param habits how the hosts take connections
  */
 public record StandstillPlan(long seed, int descriptors, int streams, boolean mayTestHosts, int hosts, List<Stop> stops,
-    List<Integer> crowdsAtMillis, List<Integer> killed, int killedAtMillis) {
+    List<Integer> crowdsAtMillis, List<Integer> killed, int killedAtMillis, int crowd, int corePercent, HostHabits habits) {
     /** How long clients send. */
     static final int LENGTH_MILLIS = 22_000;
     /** The list tells so much later that hosts have gone. */
     static final int GONE_TOLD_MILLIS = 4_500;
-    static final int CROWD = 200;
+    private static final int USUAL_CROWD = 200;
+    private static final int MAX_CROWD = 400;
+    static final int WHOLE_CORE_PERCENT = 100;
+    /** The platform gives a gateway a part of a core, and names no least one. */
+    private static final int MIN_CORE_PERCENT = 25;
+    private static final int MAX_CORE_PERCENT = 60;
+    private static final int LATE_PERCENT = 30;
+    private static final int RESET_PERCENT = 5;
+    private static final long CROWDED_SALT = 0x5eed_c0de_5eed_c0deL;
     static final int CROWD_MILLIS = 400;
     private static final int HOSTS = 13;
     private static final int STOPPED_AT_A_TIME = 3;
@@ -77,6 +88,22 @@
         if (dying > 0) {
             crowds.add(killedAt + COME_AGAIN_MILLIS);
         }
-        return new StandstillPlan(seed, descriptors, streams, mayTestHosts, HOSTS, stops, crowds, killed, killedAt);
+        return new StandstillPlan(seed, descriptors, streams, mayTestHosts, HOSTS, stops, crowds, killed, killedAt, USUAL_CROWD,
+            WHOLE_CORE_PERCENT, HostHabits.USUAL);
+    }
+
+    /** The plan of a seed with larger crowds, for three of four seeds on part of a core, and with hosts that take connections late or reset new ones. */
+    public static StandstillPlan drawCrowded(long seed) {
+        StandstillPlan plan = draw(seed);
+        RandomGenerator chance = RandomGeneratorFactory.of("L64X128MixRandom").create(seed ^ CROWDED_SALT);
+        int crowd = chance.nextInt(USUAL_CROWD, MAX_CROWD);
+        int core = chance.nextInt(4) > 0 ? chance.nextInt(MIN_CORE_PERCENT, MAX_CORE_PERCENT) : WHOLE_CORE_PERCENT;
+        HostHabits habits = switch (chance.nextInt(3)) {
+            case 0 -> new HostHabits(LATE_PERCENT, 0);
+            case 1 -> new HostHabits(0, RESET_PERCENT);
+            default -> HostHabits.USUAL;
+        };
+        return new StandstillPlan(seed, plan.descriptors, plan.streams, plan.mayTestHosts, plan.hosts, plan.stops, plan.crowdsAtMillis, plan.killed,
+            plan.killedAtMillis, crowd, core, habits);
     }
 }
--- a/src/main/java/cypressvalve/soak/StandstillTrial.java
+++ b/src/main/java/cypressvalve/soak/StandstillTrial.java
@@ -33,6 +33,7 @@
     private static final String GATEWAY = "gateway";
     /** Lines of the gateway's log that tell of closes of connections to media hosts. */
     private static final String CLOSES = "HOST_CLOS";
+    private static final String COUNTS = " viewers' connections ";
     private static final String CONNECTION_EVENT = " HOST_";
     private static final Pattern HOST_FIELD = Pattern.compile("host=[0-9a-f]+");
 
@@ -42,8 +43,10 @@
      * @param violations sessions whose ends were not told in time, each with its story
      * @param ends of sessions that clients were owed
      * @param closes how often the gateway closed a connection to a media host for each reason, as it logs them
+     * @param counts the gateway's lines of counts
      */
-    public record Outcome(StandstillPlan plan, List<String> violations, long requests, long served, int ends, Map<String, Integer> closes) { }
+    public record Outcome(StandstillPlan plan, List<String> violations, long requests, long served, int ends, Map<String, Integer> closes,
+        List<String> counts) { }
 
     private record Action(long atNanos, Task task) implements Comparable<Action> {
         @Override
@@ -84,6 +87,7 @@
         start(dir);
         long begin = System.nanoTime();
         schedule(begin);
+        Thread limit = limitCore();
         while (!actions.isEmpty()) {
             Action next = actions.poll();
             TimeUnit.NANOSECONDS.sleep(next.atNanos() - System.nanoTime());
@@ -93,12 +97,31 @@
             host.resume();
         }
         TimeUnit.MILLISECONDS.sleep(LAST_ENDS_MILLIS); // What is owed for ends until now is told by then.
+        limit.interrupt();
+        limit.join();
         return outcome();
     }
 
+    private Thread limitCore() {
+        Thread limit = new Thread(() -> {
+            try {
+                if (plan.corePercent() < StandstillPlan.WHOLE_CORE_PERCENT) {
+                    gateway.limitCore(plan.corePercent(), Long.MAX_VALUE);
+                }
+            } catch (IOException e) {
+                record.add(Event.Kind.PROCESS_ENDED, "trial", "", String.valueOf(e));
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }, "part of a core");
+        limit.setDaemon(true);
+        limit.start();
+        return limit;
+    }
+
     private void start(Path dir) throws IOException, InterruptedException {
         for (int i = 0; i < plan.hosts(); i++) {
-            MediaHostProcess host = new MediaHostProcess("host-" + i, MEAN_SESSION_MILLIS, plan.seed() * 31 + i, record, signals);
+            MediaHostProcess host = new MediaHostProcess("host-" + i, MEAN_SESSION_MILLIS, plan.seed() * 31 + i, plan.habits(), record, signals);
             hosts.add(host);
             coordinator.list(host.name(), host.address(), i);
         }
@@ -127,7 +150,7 @@
                 () -> coordinator.publish(hosts.get(number).name(), hosts.get(number).address(), number, "DELETED", 0));
         }
         for (int crowd : plan.crowdsAtMillis()) {
-            for (int i = 0; i < StandstillPlan.CROWD; i++) {
+            for (int i = 0; i < plan.crowd(); i++) {
                 at(begin, crowd + chance.nextInt(StandstillPlan.CROWD_MILLIS), this::ask);
             }
         }
@@ -160,7 +183,7 @@
             violations.add(story(untold));
         }
         return new Outcome(plan, violations, record.count(Event.Kind.REQUEST_SENT), record.count(Event.Kind.ANSWER_SERVED), checker.judged(),
-            closes());
+            closes(), gateway.log(COUNTS));
     }
 
     private Map<String, Integer> closes() {
--- a/src/test/java/cypressvalve/soak/StandstillTest.java
+++ b/src/test/java/cypressvalve/soak/StandstillTest.java
@@ -21,7 +21,18 @@
     @ParameterizedTest
     @ValueSource(longs = {10, 12})
     void endsOfHostsThatWereStoppedAreToldInTime(long seed) throws Exception {
-        StandstillTrial.Outcome outcome = StandstillTrial.run(StandstillPlan.draw(seed), dir);
+        assertAllTold(seed, StandstillPlan.draw(seed));
+    }
+
+    /** Guards against a loop that is kept from its sockets by what crowds bring: ends unread for seconds, connections given up that had come up. */
+    @ParameterizedTest
+    @ValueSource(longs = 301)
+    void endsAreToldInTimeThoughCrowdsComeToAGatewayOnPartOfACore(long seed) throws Exception {
+        assertAllTold(seed, StandstillPlan.drawCrowded(seed));
+    }
+
+    private void assertAllTold(long seed, StandstillPlan plan) throws Exception {
+        StandstillTrial.Outcome outcome = StandstillTrial.run(plan, dir);
         System.out.println(seed + ": " + outcome.ends() + " ends, " + outcome.served() + " of " + outcome.requests() + " served, " + outcome.closes());
         assertEquals("", String.join("\n", outcome.violations()));
         assertTrue(outcome.ends() >= LEAST_ENDS, "hardly a session ended");
