Timers and repeated tasks leave the loop time to poll its sockets

Cause: an XNIO thread runs tasks and due timers until there are none, and polls its sockets only then. Set-ups beyond a turn's budget, attempts that wait for their client's words and timers were due again after 1 ms, while the others' work took longer than that: the sockets had no turn as long as a crowd lasted. Timers were in time all the while. Change: such tasks run after a poll that began after they were asked for (PollCycles); between a timer's setting and its task there is a poll, and one more since it was due where it is late.

--- a/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
+++ b/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
@@ -12,6 +12,7 @@
 import cypressvalve.host.answer.AnswerJudge;
 import cypressvalve.model.Verdict;
 import cypressvalve.net.Duplex;
+import cypressvalve.net.PollCycles;
 import cypressvalve.net.Timer;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
@@ -77,6 +78,7 @@
     private static final long LISTENED_AT_LEAST = 250_000_000L;
 
     private final XnioIoThread thread;
+    private final PollCycles polls;
     private final HostLimits limits;
     private final Notes notes;
     private final ByteBuffer buffer;
@@ -105,6 +107,7 @@
     private boolean closed;
 
     /**
+     * @param polls of the thread that all of it runs on
      * @param limits mostIdle is how many connections each host is given at most
      * @param idle nanoseconds after which hosts close a connection that carries nothing
      * @param streams set-ups that one connection may have open
@@ -114,9 +117,10 @@
      * @param guard judges each attempt right before it leaves
      * @param events takes what happens to connections and attempts
      */
-    public RtspHostClient(XnioIoThread thread, HostLimits limits, long idle, int streams, int maxConnections,
+    public RtspHostClient(PollCycles polls, HostLimits limits, long idle, int streams, int maxConnections,
         ByteBuffer buffer, boolean mayTest, AttemptGuard guard, Notes notes, EventLog events) {
-        this.thread = thread;
+        this.polls = polls;
+        thread = polls.thread();
         this.limits = limits;
         this.idle = idle;
         this.streams = Math.max(1, streams);
@@ -230,7 +234,7 @@
     }
 
     private Timer after(long delay, Runnable task) {
-        return Timer.after(thread, task, delay);
+        return Timer.after(polls, task, delay);
     }
 
     @Override
@@ -1075,7 +1079,7 @@
         private void sendIfAllowed(Attempt attempt) {
             attempt.clientUnread = !guard.readBefore(attempt.order.playback());
             if (attempt.clientUnread) {
-                after(READ_AGAIN, () -> sendInNextTurn(attempt));
+                polls.afterNext(() -> sendInNextTurn(attempt));
                 return;
             }
             if (attempt.state != AttemptState.WAITING || closed || awaitsLife()) {
--- a/src/main/java/cypressvalve/net/PollCycles.java
+++ b/src/main/java/cypressvalve/net/PollCycles.java
@@ -91,9 +91,9 @@
     }
 
     private void sampleLater() {
+        long due = System.nanoTime() + SAMPLE_MILLIS * NANOS_PER_MILLI;
         thread.executeAfter(() -> {
             if (!closed) {
-                long due = System.nanoTime();
                 afterNext(() -> {
                     longestNanos = Math.max(longestNanos, System.nanoTime() - due);
                     sampleLater();
--- a/src/main/java/cypressvalve/run/GatewayNode.java
+++ b/src/main/java/cypressvalve/run/GatewayNode.java
@@ -15,6 +15,7 @@
 import cypressvalve.front.hls.SessionUris;
 import cypressvalve.host.HttpHostClient;
 import cypressvalve.net.HttpCaller;
+import cypressvalve.net.PollCycles;
 import cypressvalve.session.Clock;
 import cypressvalve.session.ClockBound;
 import cypressvalve.session.SessionCore;
@@ -55,6 +56,7 @@
     private final GatewaySettings settings;
     private final XnioWorker worker;
     private final XnioIoThread thread;
+    private final PollCycles polls;
     private final HttpCaller listCaller;
     private final HttpHostClient client;
     private final ListClient list;
@@ -95,6 +97,7 @@
             throw new IllegalStateException(e);
         }
         thread = worker.getIoThread();
+        polls = new PollCycles(thread);
         metrics = new GatewayMetrics(settings.number());
         listCaller = new HttpCaller(thread, settings.hosts().connectTimeout(), 0);
         list = new ListClient(thread, listCaller, settings.list(), settings.number(),
@@ -103,7 +106,7 @@
         client = new HttpHostClient(thread, settings.number(), settings.hosts(), notes);
         core = new SessionCore(settings.service(),
             settings.service().control(settings.number(), settings.of(), settings.zone()), settings.seed(), clock,
-            new XnioLoop(thread), client, list, settings.limits().sessions(), settings.limits().admission(), metrics,
+            new XnioLoop(polls), client, list, settings.limits().sessions(), settings.limits().admission(), metrics,
             onFailure);
         notes.core = core;
         metrics.bind(core);
@@ -275,6 +278,7 @@
             list.close();
             client.close();
             listCaller.close();
+            polls.close();
             shut.countDown();
         });
         try {
--- a/src/main/java/cypressvalve/run/PlatformNode.java
+++ b/src/main/java/cypressvalve/run/PlatformNode.java
@@ -120,7 +120,7 @@
         int toOne = (int) Math.max(1, Math.min(MOST_TO_A_HOST, settings.sockets() * HOSTS_PART / hosts / 2));
         invariants = new RequestInvariants(events);
         LaterNotes notes = new LaterNotes();
-        client = new RtspHostClient(thread, new HostLimits(settings.connectTimeout(),
+        client = new RtspHostClient(polls, new HostLimits(settings.connectTimeout(),
             settings.connectTimeout(), 0, toOne), settings.idle(), settings.streams(),
             Math.max(1, (int) (settings.sockets() * HOSTS_PART) - RtspHostClient.MAX_ENDING), buffer, settings.control().mayProbe, new Guard(), notes, events);
         follower = new StreamFollower(thread, buffer, settings.coordinator(), settings.known().path("index").asLong(),
@@ -132,14 +132,14 @@
             });
         Clock clock = Clock.anchored();
         core = new SessionCore(new Titles(settings.shares()), settings.control(), settings.seed(), clock,
-            new XnioLoop(thread), client, follower, MOST_SESSIONS, new Gate.Limits(MOST_OPEN, LATE), counts,
+            new XnioLoop(polls), client, follower, MOST_SESSIONS, new Gate.Limits(MOST_OPEN, LATE), counts,
             cause -> {
                 events.writeTo(log, EVENTS_KEPT);
                 onFailure.accept(cause);
             });
         notes.core = core;
         front = new SignalFront(core, settings.control(), HostIds::of, (int) (settings.sockets() * VIEWERS_PART), buffer,
-            thread::execute, task -> thread.executeAfter(task, 1, TimeUnit.MILLISECONDS), events, invariants);
+            thread::execute, polls::afterNext, events, invariants);
     }
 
     /** An attempt leaves once all that may speak against it has been read: its client's word, and the list's. */
--- a/src/main/java/cypressvalve/session/XnioLoop.java
+++ b/src/main/java/cypressvalve/session/XnioLoop.java
@@ -1,23 +1,24 @@
 package cypressvalve.session;
 
+import cypressvalve.net.PollCycles;
 import cypressvalve.net.Timer;
-import org.xnio.XnioIoThread;
 
 /** The loop as one XNIO I/O thread. */
 public final class XnioLoop implements Loop {
-    private final XnioIoThread thread;
+    private final PollCycles polls;
 
-    public XnioLoop(XnioIoThread thread) {
-        this.thread = thread;
+    /** @param polls of the thread */
+    public XnioLoop(PollCycles polls) {
+        this.polls = polls;
     }
 
     @Override
     public void execute(Runnable task) {
-        thread.execute(task);
+        polls.thread().execute(task);
     }
 
     @Override
     public Cancel executeAfter(Runnable task, long delay) {
-        return Timer.after(thread, task, delay)::cancel;
+        return Timer.after(polls, task, delay)::cancel;
     }
 }
--- a/src/test/java/cypressvalve/host/rtsp/GivenUpConnectionsTest.java
+++ b/src/test/java/cypressvalve/host/rtsp/GivenUpConnectionsTest.java
@@ -38,7 +38,7 @@
     }
 
     private void startTestingClient() {
-        used = new RtspHostClient(worker.getIoThread(), SHORT, 60_000_000_000L, 8, 16, ByteBuffer.allocate(4096), true,
+        used = new RtspHostClient(polls, SHORT, 60_000_000_000L, 8, 16, ByteBuffer.allocate(4096), true,
             AttemptGuard.NONE, notes(), new EventLog(64));
     }
 
--- a/src/test/java/cypressvalve/host/rtsp/RtspScene.java
+++ b/src/test/java/cypressvalve/host/rtsp/RtspScene.java
@@ -11,6 +11,7 @@
 import cypressvalve.host.SetUpOrder;
 import cypressvalve.model.Verdict;
 import cypressvalve.net.Loopback;
+import cypressvalve.net.PollCycles;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
@@ -34,13 +35,14 @@
     static final int MOST_LINES = 3;
     final ServerSocket server = Loopback.server();
     final XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
+    final PollCycles polls = new PollCycles(worker.getIoThread());
     final LinkedBlockingQueue<String> told = new LinkedBlockingQueue<>();
     final HostAddress host = new HostAddress(7, "127.0.0.1", server.getLocalPort());
     final RtspHostClient client = client(false);
     RtspHostClient used = client;
 
     RtspHostClient client(boolean mayTest) {
-        return new RtspHostClient(worker.getIoThread(), LIMITS, 60_000_000_000L, 8, MOST_LINES, ByteBuffer.allocate(4096),
+        return new RtspHostClient(polls, LIMITS, 60_000_000_000L, 8, MOST_LINES, ByteBuffer.allocate(4096),
             mayTest, AttemptGuard.NONE, notes(), new EventLog(64));
     }
 
@@ -78,6 +80,7 @@
     void stop() throws Exception {
         onLoop(client::close);
         onLoop(used::close);
+        polls.close();
         worker.shutdownNow();
         server.close();
     }
--- a/src/test/java/cypressvalve/host/rtsp/SilentHostTest.java
+++ b/src/test/java/cypressvalve/host/rtsp/SilentHostTest.java
@@ -31,7 +31,7 @@
 
     /** A session plays; its host then says nothing more, and a cancelled set-up waits on its connection until that is reset here. */
     private void standsStillWithASession() throws Exception {
-        used = new RtspHostClient(worker.getIoThread(), SHORT, 60_000_000_000L, 8, 16, ByteBuffer.allocate(4096), true,
+        used = new RtspHostClient(polls, SHORT, 60_000_000_000L, 8, 16, ByteBuffer.allocate(4096), true,
             AttemptGuard.NONE, notes(), new EventLog(64));
         onLoop(() -> setUp(SESSION));
         Socket first = server.accept();
