A connection that may have come up unseen is followed by another

Cause: 'never came up' was a verdict of a timer, 1 ms after the connect timeout; a connection that was reset before its opening was seen counted as refused; one begun before another had ended counted as the next one. For none of these was a further connection owed, on which the host says its ends again. Change: the verdict follows a poll of the sockets that began after the timeout. Only a refusal proves that nobody has taken a connection; after any other end before it was seen to be up one is owed, and what was begun before that end is not the one. Closes are logged as 'refused', 'not up in time' or 'ended before it was seen to be up'.

--- a/src/main/java/cypressvalve/host/rtsp/CloseReason.java
+++ b/src/main/java/cypressvalve/host/rtsp/CloseReason.java
@@ -1,9 +1,17 @@
 package cypressvalve.host.rtsp;
 
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.NoRouteToHostException;
+
 /** Why a connection to a media host is given up. */
 enum CloseReason {
-    /** It was refused, or not up in time. */
-    NEVER_UP("never came up"),
+    /** It was refused, which proves that nobody has taken it. */
+    REFUSED("refused"),
+    /** It was not up in time when the sockets were polled; it may come up just then. */
+    NOT_UP_IN_TIME("not up in time"),
+    /** It came up and ended, or was given up on its way, before it was seen to be up. */
+    ENDED_UNSEEN("ended before it was seen to be up"),
     /** The host ended it, or reset it. */
     BY_HOST("by the host"),
     /** The host reads too little of it. */
@@ -33,6 +41,12 @@
         this.text = text;
     }
 
+    /** The reason for a connection whose opening failed with that exception. */
+    static CloseReason ofFailedConnect(IOException why) {
+        boolean neverTaken = why instanceof ConnectException || why instanceof NoRouteToHostException;
+        return neverTaken ? REFUSED : ENDED_UNSEEN;
+    }
+
     @Override
     public String toString() {
         return text;
--- a/src/main/java/cypressvalve/host/rtsp/EndRepeats.java
+++ b/src/main/java/cypressvalve/host/rtsp/EndRepeats.java
@@ -16,7 +16,7 @@
     static final long NEVER = Long.MIN_VALUE / 2;
 
     private long endedAt = NEVER;
-    /** No connection has come up since one ended. */
+    /** No connection that was begun since one ended has come up. */
     private boolean awaited;
     /** The host may have stood still, and has said nothing since. */
     private boolean silent;
@@ -65,9 +65,13 @@
         }
     }
 
-    /** A connection came up. */
-    void connected() {
-        awaited = false;
+    /**
+     * A connection came up.
+     *
+     * @param begunAt when it was begun: the host may have taken one that was begun before another has ended, and have said all on it before
+     */
+    void connected(long begunAt) {
+        awaited = awaited && begunAt < endedAt;
     }
 
     /** A session of a set-up that left then plays: a connection that has ended since may have carried its end. */
--- a/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
+++ b/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
@@ -67,8 +67,6 @@
     public static final int MAX_ENDING = ConnectionBudget.MAX_ENDING;
     /** A connection whose host has not answered its first attempt is taken after all others. */
     private static final int AWAITS_LIFE_LOAD = 1_000;
-    /** After this the loop has looked at its sockets again, and read what had come. */
-    private static final long READ_AGAIN = 1_000_000L;
     private static final long NEVER = EndRepeats.NEVER;
     /** To a host that carries sessions, and whose process has taken none of so many connections for a while, set-ups open no more. */
     private static final int MAX_SILENT_CONNECTIONS = 2;
@@ -851,7 +849,8 @@
             timer = after(limits.connectTimeout(), this::connectTimeUp);
             connecting.addNotifier((future, nothing) -> {
                 if (future.getStatus() == IoFuture.Status.FAILED) {
-                    thread.execute(this::unreached);
+                    CloseReason why = CloseReason.ofFailedConnect(future.getException());
+                    thread.execute(() -> unreached(why));
                 }
             }, null);
         }
@@ -869,7 +868,7 @@
             duplex = new Duplex(channel, buffer, MAX_QUEUED_BYTES, this);
             duplex.start();
             pool.lifeline.connected(System.nanoTime());
-            pool.repeats.connected();
+            pool.repeats.connected(life.begunAt());
             pool.outbound.connected();
             while (!pool.outbound.isEmpty()) {
                 send(pool.outbound.poll());
@@ -879,6 +878,7 @@
             if (!attempts.isEmpty()) {
                 testLife();
             }
+            pool.reopen();
         }
 
         /**
@@ -910,17 +910,20 @@
             List.copyOf(attempts.values()).forEach(this::sendInNextTurn);
         }
 
-        /** On a late loop it may have come up long ago, which the loop sees before its next timers. */
+        /** It may have come up long ago, and its host may have said something on it: only a poll of the sockets tells. */
         private void connectTimeUp() {
-            after(READ_AGAIN, this::unreached);
+            polls.afterNext(() -> unreached(CloseReason.NOT_UP_IN_TIME));
         }
 
-        private void unreached() {
+        private void unreached(CloseReason why) {
             if (life.hasComeUp() || life.isClosed()) {
                 return;
             }
             life.close();
-            noteClosed(CloseReason.NEVER_UP);
+            noteClosed(why);
+            if (why != CloseReason.REFUSED) {
+                pool.repeats.ended(System.nanoTime()); // The host may have taken it all the same, and said something on it.
+            }
             timer.cancel();
             connecting.cancel();
             removeFromPool();
@@ -1177,6 +1180,7 @@
         private void end(CloseReason why) {
             if (!life.hasComeUp()) {
                 close(why, this::closeChannel);
+                pool.repeats.ended(System.nanoTime()); // The host may have taken it all the same.
             } else if (!life.isGivenUp()) {
                 closes.merge(why, 1, Integer::sum);
                 note(EventKind.HOST_CLOSING, why);
