What is discarded of a connection that can't be read is owed another connection

Cause: a connection that can't be read any more is held for its host's end as a proof. What its host said there was discarded, and no connection was opened after it; one that was opened as the first unreadable byte came had been taken by then. Closed by this side, it owed none either. Change: each discarded read owes a further connection, opened by the next look, at most one at a time. A connection that is opened to say releases again counts as the owed one: the mark is set before it. Measured: ConnectionEndsTest's new test fails without the mark (no connection within 1 s), passes with it.

--- a/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
+++ b/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
@@ -711,12 +711,6 @@
             connections.forEach(connection -> connection.life.hostRan(sentAt, now));
         }
 
-        /** One that was up has ended: what the host said on it last may be lost. */
-        private void connectionEnded() {
-            repeats.ended(System.nanoTime());
-            reopen();
-        }
-
         /** The host says what ended also on the next connection that is opened: so one is, where something plays. */
         private void reopen() {
             if (followed && gone) {
@@ -1041,10 +1035,11 @@
             }
             pool.repeats.givenUpInSilence();
             close(CloseReason.CANCEL_UNREAD, duplex::abort);
+            pool.repeats.ended(System.nanoTime());
             oweCancels();
             resendUnread();
             ended(Verdict.TIMEOUT, false);
-            pool.connectionEnded();
+            pool.reopen();
         }
 
         /** The host ends a connection whose stream has ended, once it has read it: that is proof, too. */
@@ -1199,10 +1194,11 @@
             removeFromPool();
             duplex.closeAndTakeRest(() -> {
                 life.close();
-                resendUnread();
                 if (!duplex.endedByPeer() || duplex.resetByPeer()) {
-                    pool.connectionEnded();
+                    pool.repeats.ended(System.nanoTime());
                 }
+                resendUnread();
+                pool.reopen();
             });
         }
 
@@ -1279,15 +1275,16 @@
             boolean lost = life.mayHaveLostWords(duplex.endedByPeer(), duplex.resetByPeer());
             ConnectionLife.State before = life.state();
             close(duplex.endedByPeer() ? CloseReason.BY_HOST : CloseReason.WRITE_QUEUE_FULL, () -> { });
+            if (lost) {
+                pool.repeats.ended(System.nanoTime());
+            }
             judgeHeldAtEnd(before);
             if (!duplex.endedByPeer() || duplex.resetByPeer() || reader.within()) {
                 oweCancels();
             }
             resendUnread();
             ended(Verdict.BROKEN, duplex.endedByPeer());
-            if (lost) {
-                pool.connectionEnded();
-            }
+            pool.reopen();
         }
 
         @Override
@@ -1319,6 +1316,7 @@
         /** Nothing more is said on it; attempts that were open are over once the host has ended it, too. */
         private void unreadable(String why) {
             life.discard();
+            pool.repeats.ended(System.nanoTime());
             List.copyOf(held.values()).forEach(answer -> answer.attempt.answerRefused(Verdict.BROKEN));
             oweCancels();
             resendUnread();
@@ -1329,11 +1327,13 @@
             } else {
                 close(CloseReason.UNREADABLE, this::closeChannel);
             }
-            pool.connectionEnded();
+            pool.reopen();
         }
 
+        /** What the host says here is lost, and said once more on the next connection that is opened: one is owed for it. */
         private void discard(int bytes) {
             discarded += bytes;
+            pool.repeats.ended(System.nanoTime());
             if (discarded > MAX_DISCARDED_BYTES || !proofs.waiting()) {
                 close(CloseReason.UNREADABLE_FOR_LONG, this::closeChannel);
             }
--- a/src/test/java/cypressvalve/host/rtsp/ConnectionEndsTest.java
+++ b/src/test/java/cypressvalve/host/rtsp/ConnectionEndsTest.java
@@ -135,6 +135,28 @@
         }
     }
 
+    /** Guards against ends on a connection that is discarded, which the host repeats on the next one alone. */
+    @Test
+    void anEndOnAConnectionThatCantBeReadAnyMoreIsFollowedByAnotherConnection() throws Exception {
+        onLoop(() -> client.follow(host, true));
+        Socket first = server.accept();
+        say(first, END.replace("aa", "dd"), "");
+        assertEquals("ended 00000000000000dd OK", told.take());
+        onLoop(() -> setUp("00000000000000bb", 100_000_000L));
+        BufferedReader in = reader(first);
+        assertTrue(message(in).startsWith("RTSP/1.0 200"));
+        assertTrue(message(in).startsWith("SETUP"));
+        assertTrue(message(in).startsWith("TEARDOWN"), "its end is still to be proved");
+        first.getOutputStream().write("noise\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
+        Socket second = server.accept();
+        say(second, END.replace("aa", "cc"), "");
+        assertEquals("ended 00000000000000cc OK", told.take());
+        say(first, END, "");
+        server.setSoTimeout(1_000); // The protocol's time for an end to reach its client.
+        say(server.accept(), END, "");
+        assertEquals("ended 00000000000000aa OK", told.take());
+    }
+
     private static void assertReleased(Socket line, String id) throws IOException {
         line.setSoTimeout(10_000);
         String said = message(reader(line));
