A host's orderly end that was asked for as a proof opens no other connection

Cause: where hosts may not be tested, a cancelled set-up's connection is half-closed and its host's end is the proof. That end counted as one on which the host's words may be lost, though all were read, so that each cancel opened a connection, under a crowd many. Change: an orderly end behind this side's loses nothing, for whatever reason this side ended its own. An end that the host begins, a reset and what could not be read count as before. Measured: ConnectionLifeTest's new test fails before, passes with it.

--- a/src/main/java/cypressvalve/host/rtsp/ConnectionLife.java
+++ b/src/main/java/cypressvalve/host/rtsp/ConnectionLife.java
@@ -185,9 +185,9 @@
 
     /**
      * Whether what the host said on it last may be lost, as it is over now: not where the host ended its stream in order behind this
-     * side's, as all that it said was read then, nor where it never came up.
+     * side's, as all that it said was read then, for whatever reason this side ended its own; nor where it never came up.
      */
     boolean mayHaveLostWords(boolean endedByHost, boolean resetByHost) {
-        return hasComeUp() && (!isGivenUp() || !endedByHost || resetByHost);
+        return hasComeUp() && (state != State.HALF_CLOSED || !endedByHost || resetByHost);
     }
 }
--- a/src/test/java/cypressvalve/host/rtsp/ConnectionLifeTest.java
+++ b/src/test/java/cypressvalve/host/rtsp/ConnectionLifeTest.java
@@ -26,6 +26,15 @@
         assertTrue(life.mayHaveLostWords(false, false), "closed here");
     }
 
+    @Test
+    void anOrderlyEndThatWasAskedForAsAProofLosesNothingUnlessWhatCameCouldNotBeRead() {
+        life.cameUp(1);
+        life.halfClose();
+        assertFalse(life.mayHaveLostWords(true, false));
+        life.discard();
+        assertTrue(life.mayHaveLostWords(true, false), "unreadable");
+    }
+
     @Test
     void statesOnlyMoveDownwards() {
         life.cameUp(1);
