A host with sessions keeps its only connection while another host has several

Cause: a set-up to another host took the place of a host's only connection where all others were in use. Change: it goes only while no other host has several, or for a host with sessions that has none itself; else the set-up is not sent there and may go elsewhere. ConnectionBudgetTest's new test fails before.

--- a/src/main/java/cypressvalve/host/rtsp/ConnectionBudget.java
+++ b/src/main/java/cypressvalve/host/rtsp/ConnectionBudget.java
@@ -105,9 +105,14 @@
         return ending.size() < MAX_ENDING;
     }
 
-    /** The one to be half-closed for another; none where all are in use, or of hosts that may stand still. */
+    /**
+     * The one to be half-closed for another; none where all are in use, or of hosts that may stand still. A host that carries sessions keeps its
+     * only connection while another host has several: what ends there could not be said.
+     */
     Optional<C> leastNeeded(Purpose purpose) {
+        boolean keepsOnlyOnes = !reaches(purpose) && held.stream().anyMatch(connection -> !connection.life().isGivenUp() && !connection.isOnlyOneOfHost());
         return held.stream().filter(connection -> connection.mayMakeRoom() && (purpose == Purpose.SEND || connection.listenedLongEnough()))
+            .filter(connection -> !keepsOnlyOnes || !connection.hostCarriesSessions() || !connection.isOnlyOneOfHost())
             .filter(connection -> !connection.hostCarriesSessions() || !connection.hostHasUnendedFor(SLOW_TO_END))
             .min(Comparator.comparing(Held::hostCarriesSessions)
                 .thenComparing(Held::isOnlyOneOfHost)
--- a/src/test/java/cypressvalve/host/rtsp/ConnectionBudgetTest.java
+++ b/src/test/java/cypressvalve/host/rtsp/ConnectionBudgetTest.java
@@ -19,6 +19,7 @@
         private final ConnectionLife life = new ConnectionLife(0);
         private final boolean carriesSessions;
         private boolean isOnlyOne;
+        private boolean inUse;
         private boolean hasUnended;
         private boolean hasQueued;
 
@@ -39,7 +40,7 @@
 
         @Override
         public boolean mayMakeRoom() {
-            return !life.isGivenUp();
+            return !inUse && !life.isGivenUp();
         }
 
         @Override
@@ -103,6 +104,17 @@
         assertEquals(Optional.of(onlyOne), budget.leastNeeded(Purpose.SEND));
     }
 
+    /** Guards against hosts that are left without a connection for seconds, as a set-up to another one took the place of their last. */
+    @Test
+    void aHostsOnlyConnectionStaysWhileAnotherHostHasSeveralThoughTheseAreInUse() {
+        Connection onlyOne = opened(true);
+        onlyOne.isOnlyOne = true;
+        opened(true).inUse = true;
+        assertEquals(Optional.empty(), budget.leastNeeded(Purpose.SEND));
+        assertEquals(Optional.empty(), budget.leastNeeded(Purpose.LISTEN));
+        assertEquals(Optional.of(onlyOne), budget.leastNeeded(Purpose.REACH));
+    }
+
     @Test
     void halfClosedConnectionsBeyondTheirNumberLeaveNoRoom() {
         for (int i = 0; i < 2 + ConnectionBudget.MAX_ENDING; i++) {
