--- a/src/main/java/cypressvalve/cli/SoakCommand.java
+++ b/src/main/java/cypressvalve/cli/SoakCommand.java
@@ -42,6 +42,9 @@
     @Option(names = "--crowded", description = "with --standstill: larger crowds, mostly on part of a core, and hosts that take connections late or reset new ones")
     private boolean crowded;
 
+    @Option(names = "--strict-hosts", description = "with --standstill: hosts count a release as said again though the connection had been reset")
+    private boolean strictHosts;
+
     @Spec
     private CommandSpec spec;
 
@@ -74,7 +77,7 @@
         for (long seed = from; seed <= to; seed++) {
             Path dir = Files.createTempDirectory("soak");
             try {
-                StandstillTrial.Outcome outcome = StandstillTrial.run(crowded ? StandstillPlan.drawCrowded(seed) : StandstillPlan.draw(seed), dir);
+                StandstillTrial.Outcome outcome = StandstillTrial.run(standstillPlan(seed), dir);
                 List<String> violations = outcome.violations();
                 broken += violations.isEmpty() ? 0 : 1;
                 out().println("seed " + seed + ": " + outcome.served() + " of " + outcome.requests() + " served, " + outcome.ends() + " ends, "
@@ -97,6 +100,11 @@
         return broken == 0 ? 0 : 1;
     }
 
+    private StandstillPlan standstillPlan(long seed) {
+        StandstillPlan plan = crowded ? StandstillPlan.drawCrowded(seed) : StandstillPlan.draw(seed);
+        return strictHosts ? plan.withStrictHosts() : plan;
+    }
+
     private static void delete(Path dir) throws IOException {
         try (Stream<Path> files = Files.walk(dir)) {
             files.sorted(Comparator.reverseOrder()).forEach(file -> file.toFile().delete());
--- a/src/main/java/cypressvalve/host/rtsp/EndRepeats.java
+++ b/src/main/java/cypressvalve/host/rtsp/EndRepeats.java
@@ -53,6 +53,11 @@
         silent = true;
     }
 
+    /** Whether a connection on which the host said nothing was given up here, and it has said nothing since. */
+    boolean isSilent() {
+        return silent;
+    }
+
     /**
      * Something came from the host.
      *
--- a/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
+++ b/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
@@ -614,11 +614,15 @@
                 if (connection.writable() && connection.history.mayAnswerCancelled(id)) {
                     return connection;
                 }
-                boolean usable = connection.usable() && !connection.history.mayRefuseAgain(id);
+                boolean usable = connection.usable() && !connection.history.mayRefuseAgain(id)
+                    && (connection.life.isAccepted() || !keepsUnacceptedClean());
                 if (usable && (best == null || connection.load() < best.load())) {
                     best = connection;
                 }
             }
+            if (keepsUnacceptedClean()) {
+                return best;
+            }
             if (best == null) {
                 best = silentConnection();
             }
@@ -626,6 +630,14 @@
             return more && makeRoom(ConnectionBudget.Purpose.SEND) ? new HostConnection(this) : best;
         }
 
+        /**
+         * Whether attempts go out on no connection that the host's process may not have taken, as one of its connections was reset in its
+         * silence: where it may not be tested, each that it leaves unread would cost one more, and it says its ends on the next that it takes.
+         */
+        private boolean keepsUnacceptedClean() {
+            return !mayTest && carriesSessions() && repeats.isSilent();
+        }
+
         /** Whether one more connection may find the host's process: where it carries sessions, each that it has not taken is kept for their ends. */
         private boolean mayComeAlive() {
             List<HostConnection> unaccepted = connections.stream().filter(connection -> !connection.life.isAccepted()).toList();
--- a/src/main/java/cypressvalve/soak/LoopMediaHost.java
+++ b/src/main/java/cypressvalve/soak/LoopMediaHost.java
@@ -76,10 +76,10 @@
         story.println(LISTENS + ((InetSocketAddress) server.getLocalAddress()).getPort());
     }
 
-    /** Arguments: name, mean length of sessions in milliseconds, seed, and the two of {@link HostHabits}. Runs until it is killed, or who started it has ended. */
+    /** Arguments: name, mean length of sessions in milliseconds, seed, and the three of {@link HostHabits}. Runs until it is killed, or who started it has ended. */
     public static void main(String[] arguments) throws IOException {
         new LoopMediaHost(arguments[0], Long.parseLong(arguments[1]), Long.parseLong(arguments[2]),
-            new HostHabits(Integer.parseInt(arguments[3]), Integer.parseInt(arguments[4]))).run();
+            new HostHabits(Integer.parseInt(arguments[3]), Integer.parseInt(arguments[4]), Boolean.parseBoolean(arguments[5]))).run();
     }
 
     private void run() throws IOException {
@@ -132,7 +132,7 @@
         try {
             Connection connection = new Connection(channel);
             connections.add(connection);
-            repeats.removeIf(session -> release(session, connection));
+            repeats.removeIf(session -> release(session, connection) || habits.countsFailedRepeats());
             lastWasReset = !lastWasReset && chance.nextInt(PERCENT) < habits.resetPercent();
             if (lastWasReset) {
                 after(chance.nextInt(MAX_RESET_MILLIS), connection::reset);
--- a/src/main/java/cypressvalve/soak/MediaHostProcess.java
+++ b/src/main/java/cypressvalve/soak/MediaHostProcess.java
@@ -44,7 +44,7 @@
         process = ChildProcesses.start(new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx24m",
             "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Djava.net.preferIPv4Stack=true", "-cp", System.getProperty("java.class.path"),
             LoopMediaHost.class.getName(), name, String.valueOf(meanSessionMillis), String.valueOf(seed),
-            String.valueOf(habits.latePercent()), String.valueOf(habits.resetPercent())).redirectErrorStream(true));
+            String.valueOf(habits.latePercent()), String.valueOf(habits.resetPercent()), String.valueOf(habits.countsFailedRepeats())).redirectErrorStream(true));
         BufferedReader in = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
         String first = in.readLine();
         if (first == null || !first.startsWith(LoopMediaHost.LISTENS)) {
--- a/src/main/java/cypressvalve/soak/StandstillPlan.java
+++ b/src/main/java/cypressvalve/soak/StandstillPlan.java
@@ -92,6 +92,12 @@
             WHOLE_CORE_PERCENT, HostHabits.USUAL);
     }
 
+    /** The same with hosts that count a repeat as said though the connection had been reset. */
+    public StandstillPlan withStrictHosts() {
+        return new StandstillPlan(seed, descriptors, streams, mayTestHosts, hosts, stops, crowdsAtMillis, killed, killedAtMillis, crowd, corePercent,
+            new HostHabits(habits.latePercent(), habits.resetPercent(), true));
+    }
+
     /** The plan of a seed with larger crowds, for three of four seeds on part of a core, and with hosts that take connections late or reset new ones. */
     public static StandstillPlan drawCrowded(long seed) {
         StandstillPlan plan = draw(seed);
@@ -99,8 +105,8 @@
         int crowd = chance.nextInt(USUAL_CROWD, MAX_CROWD);
         int core = chance.nextInt(4) > 0 ? chance.nextInt(MIN_CORE_PERCENT, MAX_CORE_PERCENT) : WHOLE_CORE_PERCENT;
         HostHabits habits = switch (chance.nextInt(3)) {
-            case 0 -> new HostHabits(LATE_PERCENT, 0);
-            case 1 -> new HostHabits(0, RESET_PERCENT);
+            case 0 -> new HostHabits(LATE_PERCENT, 0, false);
+            case 1 -> new HostHabits(0, RESET_PERCENT, false);
             default -> HostHabits.USUAL;
         };
         return new StandstillPlan(seed, plan.descriptors, plan.streams, plan.mayTestHosts, plan.hosts, plan.stops, plan.crowdsAtMillis, plan.killed,
--- a/src/test/java/cypressvalve/host/rtsp/ConnectionEndsTest.java
+++ b/src/test/java/cypressvalve/host/rtsp/ConnectionEndsTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import cypressvalve.host.HostAddress;
+import cypressvalve.host.HostClient;
 import cypressvalve.net.Loopback;
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -135,6 +136,34 @@
         }
     }
 
+    /** Guards against a host's one repeat of its ends on a connection that was reset for a set-up before it was taken. */
+    @Test
+    void afterAResetInAHostsSilenceNoSetUpGoesOutOnTheConnectionThatItMayNotHaveTaken() throws Exception {
+        onLoop(() -> client.follow(host, true));
+        Socket first = server.accept();
+        say(first, END.replace("aa", "dd"), "");
+        assertEquals("ended 00000000000000dd OK", told.take());
+        HostClient.Call[] call = new HostClient.Call[1];
+        onLoop(() -> call[0] = setUp("00000000000000bb"));
+        BufferedReader in = reader(first);
+        assertTrue(message(in).startsWith("RTSP/1.0 200"));
+        assertTrue(message(in).startsWith("SETUP"));
+        onLoop(() -> call[0].withdraw());
+        assertEquals("back 00000000000000bb WITHDRAWN", told.take());
+        Socket second = server.accept();
+        onLoop(() -> setUp("00000000000000cc"));
+        assertEquals("back 00000000000000cc NOT_SENT", told.take());
+        say(second, END, "");
+        assertEquals("ended 00000000000000aa OK", told.take());
+        onLoop(() -> setUp("00000000000000ee"));
+        BufferedReader spokenTo = reader(second);
+        String said = message(spokenTo);
+        while (!said.startsWith("SETUP")) {
+            said = message(spokenTo);
+        }
+        assertTrue(said.contains("00000000000000ee"), "the host has spoken: " + said);
+    }
+
     /** Guards against ends on a connection that is discarded, which the host repeats on the next one alone. */
     @Test
     void anEndOnAConnectionThatCantBeReadAnyMoreIsFollowedByAnotherConnection() throws Exception {
