Liveness checks and the coordinator's time-outs follow a poll of the sockets

Cause: whether a media host or the coordinator is silent, and whether the coordinator's connection came up, was looked at by timers alone; under a crowd what had come lay unread meanwhile. Change: the looks at media hosts are timers with a poll before them; the coordinator's follow a poll that began after they were due. Nothing waits for a poll of a thread that is shut down. Measured: StreamFollowerTest, the tests of media hosts' connections and of the node pass; no test shows the coordinator's case.

--- a/src/main/java/cypressvalve/fleet/stream/StreamFollower.java
+++ b/src/main/java/cypressvalve/fleet/stream/StreamFollower.java
@@ -5,6 +5,7 @@
 import cypressvalve.net.Duplex;
 import cypressvalve.net.EventReader;
 import cypressvalve.net.HttpStream;
+import cypressvalve.net.PollCycles;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -44,6 +45,7 @@
     private static final int MOST_QUEUED = 4096;
 
     private final XnioIoThread thread;
+    private final PollCycles polls;
     private final ByteBuffer buffer;
     private final int cells;
     private final Set<String> kinds;
@@ -69,10 +71,11 @@
      * @param taker takes each version once, in order
      * @param log takes a line for each stream and each event, and where one was refused
      */
-    public StreamFollower(XnioIoThread thread, ByteBuffer buffer, InetSocketAddress address, long last, int cells,
+    public StreamFollower(PollCycles polls, ByteBuffer buffer, InetSocketAddress address, long last, int cells,
         Set<String> kinds, RandomGenerator chance, Supplier<InetSocketAddress> told, Consumer<ListVersion> taker,
         Consumer<String> log) {
-        this.thread = thread;
+        this.polls = polls;
+        thread = polls.thread();
         this.buffer = buffer;
         this.address = address;
         this.last = last;
@@ -231,8 +234,9 @@
             return brought ? SILENT_MS : answered ? NOTHING_MS : NO_ANSWER_MS;
         }
 
+        /** What is unread, or has come up unseen, on a busy loop is no silence: the sockets are polled first. */
         private void look(long in) {
-            thread.executeAfter(() -> {
+            thread.executeAfter(() -> polls.afterNext(() -> {
                 if (!over && duplex != null) {
                     duplex.readNow(); // What waits unread on a late loop is no silence.
                 }
@@ -246,7 +250,7 @@
                 } else {
                     look(most - quiet + 1);
                 }
-            }, in, TimeUnit.MILLISECONDS);
+            }), in, TimeUnit.MILLISECONDS);
         }
 
         private void opened(StreamConnection connection) {
@@ -298,11 +302,11 @@
                 broken();
             } else if (http.body() && !answered) {
                 answered = true;
-                thread.executeAfter(() -> {
+                thread.executeAfter(() -> polls.afterNext(() -> {
                     if (!over) {
                         current();
                     }
-                }, TOLD_MS, TimeUnit.MILLISECONDS);
+                }), TOLD_MS, TimeUnit.MILLISECONDS);
             }
         }
 
--- a/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
+++ b/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
@@ -132,12 +132,12 @@
     }
 
     private void sweepLater() {
-        thread.executeAfter(() -> {
+        after(TimeUnit.MILLISECONDS.toNanos(SWEEP_MS), () -> {
             if (!closed) {
                 sweep();
                 sweepLater();
             }
-        }, SWEEP_MS, TimeUnit.MILLISECONDS);
+        });
     }
 
     private void sweep() {
--- a/src/main/java/cypressvalve/net/PollCycles.java
+++ b/src/main/java/cypressvalve/net/PollCycles.java
@@ -54,8 +54,11 @@
         return thread;
     }
 
-    /** Runs the task once a poll that began after this call is over, and all that it found ready has been seen to. */
+    /** Runs the task once a poll that began after this call is over, and all that it found ready has been seen to; never once closed. */
     public void afterNext(Runnable task) {
+        if (closed) {
+            return;
+        }
         if (!markWorks) {
             thread.executeAfter(task, UNMARKED_MILLIS, TimeUnit.MILLISECONDS);
         } else if (armed.isEmpty()) {
--- a/src/main/java/cypressvalve/run/PlatformNode.java
+++ b/src/main/java/cypressvalve/run/PlatformNode.java
@@ -123,7 +123,7 @@
         client = new RtspHostClient(polls, new HostLimits(settings.connectTimeout(),
             settings.connectTimeout(), 0, toOne), settings.idle(), settings.streams(),
             Math.max(1, (int) (settings.sockets() * HOSTS_PART) - RtspHostClient.MAX_ENDING), buffer, settings.control().mayProbe, new Guard(), notes, events);
-        follower = new StreamFollower(thread, buffer, settings.coordinator(), settings.known().path("index").asLong(),
+        follower = new StreamFollower(polls, buffer, settings.coordinator(), settings.known().path("index").asLong(),
             settings.control().cells, settings.control().places.keySet(),
             RandomGeneratorFactory.of("L64X128MixRandom").create(settings.seed() ^ 1), coordinator,
             version -> this.listed(version), line -> {
--- a/src/test/java/cypressvalve/fleet/stream/StreamFollowerTest.java
+++ b/src/test/java/cypressvalve/fleet/stream/StreamFollowerTest.java
@@ -6,6 +6,7 @@
 
 import cypressvalve.fleet.membership.ListVersion;
 import cypressvalve.net.Loopback;
+import cypressvalve.net.PollCycles;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
@@ -34,11 +35,12 @@
     private static final String OK = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
     private final ServerSocket coordinator = Loopback.server();
     private final XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
+    private final PollCycles polls = new PollCycles(worker.getIoThread());
     private final LinkedBlockingQueue<ListVersion> taken = new LinkedBlockingQueue<>();
     private final AtomicReference<InetSocketAddress> told = new AtomicReference<>();
     private final LinkedBlockingQueue<String> log = new LinkedBlockingQueue<>();
     private final LinkedBlockingQueue<String> current = new LinkedBlockingQueue<>();
-    private final StreamFollower follower = new StreamFollower(worker.getIoThread(), ByteBuffer.allocate(4096),
+    private final StreamFollower follower = new StreamFollower(polls, ByteBuffer.allocate(4096),
         address(coordinator), 1, 3, Set.of("std"), RandomGenerator.of("L64X128MixRandom"), told::get, taken::add, log::add);
 
     StreamFollowerTest() throws IOException { }
@@ -55,6 +57,7 @@
     @AfterEach
     void stop() throws Exception {
         worker.getIoThread().execute(follower::close);
+        polls.close();
         worker.shutdownNow();
         coordinator.close();
     }
@@ -191,7 +194,7 @@
     @Test
     void aMoveBeforeTheStartIsWhereItStarts() throws Exception {
         try (ServerSocket next = Loopback.server()) {
-            StreamFollower other = new StreamFollower(worker.getIoThread(), ByteBuffer.allocate(4096), address(coordinator), 5, 3,
+            StreamFollower other = new StreamFollower(polls, ByteBuffer.allocate(4096), address(coordinator), 5, 3,
                 Set.of("std"), RandomGenerator.of("L64X128MixRandom"), told::get, taken::add, log::add);
             LinkedBlockingQueue<String> failed = new LinkedBlockingQueue<>();
             worker.getIoThread().execute(() -> {
