Polls are marked by time where the system has no pipe left

Cause: a gateway would not have started without the mark of its polls. Change: without it, and where polls do not find it ready, tasks run after 1 ms, as before. No test takes the pipe away.

--- a/src/main/java/cypressvalve/net/PollCycles.java
+++ b/src/main/java/cypressvalve/net/PollCycles.java
@@ -1,9 +1,9 @@
 package cypressvalve.net;
 
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.xnio.ChannelPipe;
 import org.xnio.IoUtils;
@@ -22,31 +22,41 @@
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final XnioIoThread thread;
-    private final StreamSourceChannel readEnd;
-    private final StreamSinkChannel mark;
+    /** Its writing end is the mark; none where the system had no pipe left. */
+    private final Optional<ChannelPipe<StreamSourceChannel, StreamSinkChannel>> pipe;
     /** What runs after the poll that the mark takes part in next. */
     private List<Runnable> armed = new ArrayList<>();
     /** What came since the mark was armed: the poll that finds it ready may have begun before. */
     private List<Runnable> later = new ArrayList<>();
-    /** A system whose polls do not find the mark ready has it replaced by a time. */
+    /** Where there is no mark, or polls do not find it ready, a time stands in for it. */
     private boolean markWorks;
     private long completed;
     private long longestNanos;
     private volatile boolean closed;
 
-    /** Throws UncheckedIOException where the system has no pipe left. */
+    /** Begins to mark polls; from any thread. */
     public PollCycles(XnioIoThread thread) {
         this.thread = thread;
+        pipe = pipeOf(thread);
+        mark().ifPresent(mark -> mark.getWriteSetter().set(channel -> polled(mark)));
+        thread.execute(this::arm);
+        sampleLater();
+    }
+
+    private static Optional<ChannelPipe<StreamSourceChannel, StreamSinkChannel>> pipeOf(XnioIoThread thread) {
         try {
-            ChannelPipe<StreamSourceChannel, StreamSinkChannel> pipe = thread.createHalfDuplexPipe();
-            readEnd = pipe.getLeftSide();
-            mark = pipe.getRightSide();
+            return Optional.of(thread.createHalfDuplexPipe());
         } catch (IOException e) {
-            throw new UncheckedIOException(e);
+            return Optional.empty();
         }
-        mark.getWriteSetter().set(channel -> polled());
-        thread.execute(mark::resumeWrites);
-        sampleLater();
+    }
+
+    private Optional<StreamSinkChannel> mark() {
+        return pipe.map(ChannelPipe::getRightSide);
+    }
+
+    private void arm() {
+        mark().ifPresent(StreamSinkChannel::resumeWrites);
     }
 
     /** The thread whose polls these are. */
@@ -63,7 +73,7 @@
             thread.executeAfter(task, UNMARKED_MILLIS, TimeUnit.MILLISECONDS);
         } else if (armed.isEmpty()) {
             armed.add(task);
-            mark.resumeWrites();
+            arm();
         } else {
             later.add(task);
         }
@@ -81,7 +91,7 @@
         return longest;
     }
 
-    private void polled() {
+    private void polled(StreamSinkChannel mark) {
         markWorks = true;
         completed++;
         List<Runnable> due = armed;
@@ -108,6 +118,6 @@
     @Override
     public void close() {
         closed = true;
-        IoUtils.safeClose(mark, readEnd);
+        pipe.ifPresent(ends -> IoUtils.safeClose(ends.getRightSide(), ends.getLeftSide()));
     }
 }
