Review case 6: hundreds of requests at once from two dozen clients end a gateway

Cause: whole set-ups that wait to be asked for have no bound in bytes, which is graver than two of the cases so far: a crash.

--- a/review/10/Case10.java
+++ b/review/10/Case10.java
@@ -1,19 +1,19 @@
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
-import java.util.Set;
-import java.util.TreeSet;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 
-/** A media host is cut off for 6 s, and the list drops it meanwhile: what played there is left standing, and its seat is given away. */
+/** The coordinator breaks off and is slow to answer from then on: a gateway gives up each call before its answer, and hears nothing. */
 final class Case10 {
-    private static final long FIRST = 0xa000;
-    private static final int SEATS = 1;
-    /** STANDING.md: for 6 s a zone is partitioned, or a fifth of the media hosts fall silent. */
-    private static final long CUT_MS = 6_000;
-    /** santiago-main: silent_notice_s at least. */
-    private static final long DROPPED_MS = 5_300;
-    /** santiago-main: add_s at most. */
-    private static final long LISTED_AGAIN_MS = CUT_MS + 2_400;
-    private static final long ASKED_AGAIN_MS = 18_000;
+    private static final long FIRST = 0x8000;
+    /** How long a call waits for its answer. */
+    private static final long ANSWERED_AFTER_MS = 3_200;
+    /** The protocol's page: what it would have told counts as told 4 s after it broke off, at the latest. */
+    private static final long TOLD_MS = 4_000;
+    private static final long WATCHED_MS = 25_000;
+    private static final long DRAINED_FOR_MS = 15_000;
+    private static final int HOLDERS = 3;
 
     public static void main(String[] args) {
         Lab.main(args[0], Case10::run);
@@ -23,62 +23,45 @@
         Coordinator coordinator = new Coordinator(lab);
         List<Host> hosts = new ArrayList<>();
         List<Coordinator.Entry> list = new ArrayList<>();
-        for (int i = 0; i < 5; i++) {
+        for (int i = 0; i < HOLDERS; i++) {
             hosts.add(new Host(lab, "s-" + i).listen(0));
             list.add(hosts.get(i).entry(i, "SERVING", 0));
         }
         coordinator.tell(list.toArray(new Coordinator.Entry[0]));
-        Config config = new Config();
-        config.cells = 5;
-        config.plusSeats = SEATS;
         int port = Lab.freePort();
-        lab.gateway("n1", port, config.text(coordinator));
+        lab.gateway("n1", port, new Config().text(coordinator));
         lab.awaitReady(port);
+        Map<Long, Client.Seen> sessions = new ConcurrentHashMap<>();
         Thread.sleep(Config.COLD_MS + 1_000);
-        Client viewers = new Client(lab, "viewers", port);
-        viewers.setUp(FIRST, Config.PLUS, Config.TENANT, "t", 3000, "home:0;copies:3;top:1;viewer:" + Client.hex(FIRST), Client.description(FIRST));
-        Thread.sleep(3_000);
-        Host cut = hosts.stream().filter(host -> host.sessions.containsKey(Client.hex(FIRST))).findFirst().orElse(null);
-        if (cut == null) {
-            lab.say("no session stands");
-            return Lab.COULD_NOT_RUN;
-        }
-        int cell = hosts.indexOf(cut);
         long began = lab.now();
         if (lab.trouble) {
-            cut.cutOff();
-        }
-        lab.until(began + 1_000);
-        for (int i = 2; i < 8; i++) {
-            viewers.setUp(FIRST + i, Config.RECORDED, Config.TENANT, "v" + i, 4000, "home:" + cell + ";copies:1;top:1;viewer:" + Client.hex(FIRST + i),
-                Client.description(FIRST + i));
-            Thread.sleep(300);
-        }
-        lab.until(began + DROPPED_MS);
-        if (lab.trouble) {
-            coordinator.tell(cut.entry(cell, "DELETED", 0));
-            lab.until(began + CUT_MS);
-            cut.heal();
-            lab.note(cut.name + " is reached again, with sessions " + cut.sessions.keySet());
-            lab.until(began + LISTED_AGAIN_MS);
-            coordinator.tell(cut.entry(cell, "SERVING", 0));
+            coordinator.answersAfterMs = ANSWERED_AFTER_MS;
+            coordinator.breakOff();
         }
-        lab.until(began + ASKED_AGAIN_MS);
-        Client again = new Client(lab, "viewer again", port, viewers.sessions);
-        again.setUp(FIRST + 9, Config.PLUS, Config.TENANT, "t", 3000, "home:0;copies:3;top:1;viewer:" + Client.hex(FIRST + 9),
-            Client.description(FIRST + 9));
-        Thread.sleep(3_000);
-        Set<String> held = new TreeSet<>();
-        for (Host host : hosts) {
-            for (long id : new long[] {FIRST, FIRST + 9}) {
-                if (host.sessions.containsKey(Client.hex(id))) {
-                    held.add(Client.hex(id) + " at " + host.name);
-                }
+        Thread.sleep(100);
+        long told = lab.trouble ? began + TOLD_MS : lab.now();
+        Host drained = hosts.get(0);
+        coordinator.tell(drained.entry(0, "DRAINING", 0));
+        Map<Long, Client> connections = new HashMap<>();
+        boolean ended = false;
+        for (long id = FIRST; lab.now() < began + WATCHED_MS; id++) {
+            Client viewer = new Client(lab, "viewer", port, sessions);
+            connections.put(id, viewer);
+            viewer.setUp(id, Config.RECORDED, Config.TENANT, "t", 4000, "home:0;copies:" + HOLDERS + ";top:1;viewer:" + Client.hex(id),
+                Client.description(id));
+            Thread.sleep(700);
+            if (!ended && lab.now() > began + DRAINED_FOR_MS) {
+                ended = true;
+                drained.die();
+                coordinator.tell(drained.entry(0, "DELETED", 0));
             }
         }
-        Client.Seen first = viewers.sessions.get(FIRST);
-        lab.say("sessions of the title in " + Config.PLUS + " that stand for this gateway: " + held + ", seats " + SEATS + "; the first was released"
-            + " towards its viewer " + (first.releasedAt < 0 ? "not at all" : lab.now() - first.releasedAt + " ms ago"));
-        return held.size() > SEATS ? Lab.BROKEN : Lab.HELD;
+        long from = told + Config.DRAIN_GRACE_MS + Config.SLACK_MS;
+        List<Long> late = drained.setUpTimes.stream().filter(t -> t > from).toList();
+        long cut = drained.setUps.entrySet().stream().filter(e -> e.getValue() > from)
+            .filter(e -> sessions.get(Long.parseUnsignedLong(e.getKey(), 16)).cause == 41).count();
+        lab.say("the drain was told at " + told + " ms at the latest; set-ups at s-0 later than " + from + " ms: " + late.size()
+            + " " + late + "; of these, sessions that were cut as s-0 ended: " + cut);
+        return late.isEmpty() ? Lab.HELD : Lab.BROKEN;
     }
 }
--- a/review/6/Case6.java
+++ b/review/6/Case6.java
@@ -1,15 +1,19 @@
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 
-/** One of five media hosts vanishes while a gateway holds sessions at more media hosts than it may hold connections to. */
+/** Bad clients with hundreds of requests at once, each as long as a message may be, beside usual viewers. */
 final class Case6 {
-    private static final int HOSTS = 140;
-    private static final int VANISHED_ONE_OF = 5;
     private static final long FIRST = 0x6000;
-    /** The protocol's page: within 8 s of its end, and 50 ms for sockets. */
-    private static final long OWED_MS = 8_000 + Config.SLACK_MS;
-    /** santiago-main: silent_notice_s at most. */
-    private static final long TOLD_MS = 13_000;
+    private static final int USUAL = 6;
+    private static final int LATER = 10;
+    private static final int WAIT_MS = 4_000;
+    private static final int BAD_CLIENTS = 24;
+    private static final int REQUESTS_EACH = 250;
+    /** So that a set-up, and the SETUP that a gateway makes of it, stays under 16 KiB. */
+    private static final int LONG_DESCRIPTION = 15_900;
+    private static final String FIGURES = "home:0;copies:3;top:4;viewer:00000000b4d65521";
 
     public static void main(String[] args) {
         Lab.main(args[0], Case6::run);
@@ -19,65 +23,80 @@
         Coordinator coordinator = new Coordinator(lab);
         List<Host> hosts = new ArrayList<>();
         List<Coordinator.Entry> list = new ArrayList<>();
-        for (int i = 0; i < HOSTS; i++) {
+        for (int i = 0; i < 3; i++) {
             Host host = new Host(lab, "s-" + i).listen(0);
             hosts.add(host);
             list.add(host.entry(i, "SERVING", 0));
         }
         coordinator.tell(list.toArray(new Coordinator.Entry[0]));
         Config config = new Config();
-        config.cells = HOSTS;
-        config.gateways = 100;
+        config.sockets = 512;
         int port = Lab.freePort();
-        lab.gateway("n1", port, config.text(coordinator));
+        Process gateway = lab.gateway("n1", port, config.text(coordinator));
         lab.awaitReady(port);
-        Thread.sleep(Config.COLD_MS + 1_000);
-        Client viewers = new Client(lab, "viewers", port);
-        for (int i = 0; i < HOSTS; i++) {
-            viewers.setUp(FIRST + i, Config.RECORDED, Config.TENANT, "t" + i, 4000, "home:" + i + ";copies:1;top:4;viewer:00000000b4d65521",
-                Client.description(FIRST + i));
-            Thread.sleep(60);
+        Client usual = new Client(lab, "usual viewers", port);
+        for (int i = 0; i < USUAL; i++) {
+            setUp(usual, FIRST + i);
+            Thread.sleep(500);
         }
-        Thread.sleep(8_000);
-        long standing = viewers.sessions.values().stream().filter(s -> s.answeredAt >= 0 && s.releasedAt < 0).count();
-        lab.say(standing + " sessions stand");
-        if (standing < HOSTS * 9 / 10) {
+        long standing = usual.sessions.values().stream().filter(s -> s.answeredAt >= 0 && s.releasedAt < 0).count();
+        lab.say(standing + " sessions of usual viewers stand");
+        if (standing == 0) {
             return Lab.COULD_NOT_RUN;
         }
-        long began = lab.now();
-        long[] ended = new long[HOSTS];
-        for (int i = 0; i < HOSTS; i += VANISHED_ONE_OF) {
-            if (lab.trouble) {
-                hosts.get(i).cutOff();
-            }
-            ended[i] = lab.now();
+        if (lab.trouble) {
+            flood(lab, port);
         }
-        lab.until(began + TOLD_MS);
-        int vanished = 0;
-        int late = 0;
-        List<Coordinator.Entry> gone = new ArrayList<>();
-        for (int i = 0; lab.trouble && i < HOSTS; i += VANISHED_ONE_OF) {
-            Client.Seen session = viewers.sessions.get(FIRST + i);
-            if (session.answeredAt < 0) {
-                continue;
-            }
-            vanished++;
-            gone.add(hosts.get(i).entry(i, "DELETED", 0));
-            long took = session.releasedAt - ended[i];
-            if (session.releasedAt < 0 || took > OWED_MS) {
-                late++;
-                lab.note("LATE: session " + Client.hex(FIRST + i) + " of s-" + i + " is "
-                    + (session.releasedAt < 0 ? "not released " + (lab.now() - ended[i]) : "released " + took) + " ms after its end");
+        for (int i = 0; i < LATER && gateway.isAlive() && !usual.closed; i++) {
+            setUp(usual, FIRST + USUAL + i);
+            Thread.sleep(500);
+        }
+        Thread.sleep(WAIT_MS);
+        boolean crashed = !gateway.isAlive();
+        lab.say("set-ups that media hosts have read: " + hosts.stream().mapToInt(host -> host.setUpTimes.size()).sum() + "; the gateway "
+            + (crashed ? "has ended by itself, exit code " + gateway.exitValue() + ", with " + standing + " sessions of usual viewers" : "runs"));
+        return crashed ? Lab.BROKEN : Lab.HELD;
+    }
+
+    private static void setUp(Client client, long id) throws IOException {
+        try {
+            client.setUp(id, Config.RECORDED, Config.TENANT, "t" + id, WAIT_MS, FIGURES, Client.description(id));
+        } catch (IOException e) {
+            client.note("can't send: " + e.getMessage());
+        }
+    }
+
+    /** All send at full speed, and read whatever they are sent. */
+    private static void flood(Lab lab, int port) throws Exception {
+        List<byte[]> messages = new ArrayList<>();
+        for (int i = 1; i <= BAD_CLIENTS; i++) {
+            ByteArrayOutputStream all = new ByteArrayOutputStream();
+            for (long id = i * 0x100000L; id < i * 0x100000L + REQUESTS_EACH; id++) {
+                all.write(Client.message(Client.SET_UP, id, Client.setUpParameters(Config.RECORDED, Config.TENANT, "t" + id % 50, WAIT_MS, FIGURES,
+                    Client.description(id, LONG_DESCRIPTION))));
             }
+            messages.add(all.toByteArray());
         }
-        if (lab.trouble) {
-            coordinator.tell(gone.toArray(new Coordinator.Entry[0]));
-            Thread.sleep(4_000);
+        lab.say(BAD_CLIENTS + " bad clients send " + REQUESTS_EACH + " requests each, "
+            + messages.stream().mapToLong(all -> all.length).sum() / 1_000_000 + " MB in all");
+        List<Thread> senders = new ArrayList<>();
+        for (int i = 1; i <= BAD_CLIENTS; i++) {
+            byte[] all = messages.get(i - 1);
+            Client bad = new Client(lab, "bad client " + i, port);
+            Thread sender = new Thread(() -> {
+                try {
+                    bad.sendAll(all);
+                    bad.note("has sent all its requests");
+                } catch (IOException e) {
+                    bad.note("has sent a part: " + e.getMessage());
+                }
+            });
+            sender.setDaemon(true);
+            sender.start();
+            senders.add(sender);
+        }
+        for (Thread sender : senders) {
+            sender.join(20_000);
         }
-        long cut = viewers.sessions.entrySet().stream().filter(e -> e.getValue().releasedAt >= 0
-            && (!lab.trouble || (e.getKey() - FIRST) % VANISHED_ONE_OF != 0)).count();
-        lab.say("sessions at vanished hosts: " + vanished + ", not released within " + OWED_MS + " ms: " + late
-            + "; released of hosts that live: " + cut);
-        return late > 0 || cut > 0 ? Lab.BROKEN : Lab.HELD;
     }
 }
--- a/review/standin-2/Client.java
+++ b/review/standin-2/Client.java
@@ -97,7 +97,7 @@
             if (seen.answeredAt < 0) {
                 seen.refusedAt = lab.now();
                 seen.cause = cause;
-                } else if (seen.releasedAt < 0) {
+            } else if (seen.releasedAt < 0) {
                 seen.releasedAt = lab.now();
                 seen.cause = cause;
             }
@@ -106,14 +106,27 @@
         }
     }
 
-    synchronized void send(int type, long id, byte[] parameters) throws IOException {
+    void note(String what) {
+        lab.note(name + " " + what);
+    }
+
+    static byte[] message(int type, long id, byte[] parameters) throws IOException {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         DataOutputStream message = new DataOutputStream(bytes);
         message.writeShort(9 + parameters.length);
         message.writeByte(type);
         message.writeLong(id);
         message.write(parameters);
-        out.write(bytes.toByteArray());
+        return bytes.toByteArray();
+    }
+
+    void send(int type, long id, byte[] parameters) throws IOException {
+        sendAll(message(type, id, parameters));
+    }
+
+    /** Sends whole messages, as many as there are, at full speed. */
+    synchronized void sendAll(byte[] messages) throws IOException {
+        out.write(messages);
         out.flush();
     }
 
@@ -132,9 +145,17 @@
         return (hex(id) + "\r\nc=IN IP4 127.0.0.1\r\nm=audio 31000 RTP/AVP 0 8 101\r\n").getBytes(StandardCharsets.UTF_8);
     }
 
+    /** The same, with further attributes up to about that many bytes. */
+    static byte[] description(long id, int bytes) {
+        StringBuilder text = new StringBuilder(new String(description(id), StandardCharsets.UTF_8));
+        for (int i = 0; text.length() + 40 < bytes; i++) {
+            text.append("a=candidate:").append(1_000_000 + i).append(" 1 UDP 2130706431\r\n");
+        }
+        return text.toString().getBytes(StandardCharsets.UTF_8);
+    }
+
     /** @param figures as in parameter 144 */
-    void setUp(long id, String plan, String tenant, String title, int waitMs, String figures, byte[] description)
-        throws IOException {
+    static byte[] setUpParameters(String plan, String tenant, String title, int waitMs, String figures, byte[] description) throws IOException {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         DataOutputStream p = new DataOutputStream(bytes);
         parameter(p, 129, plan);
@@ -146,9 +167,13 @@
         if (description != null) {
             parameter(p, 174, description);
         }
+        return bytes.toByteArray();
+    }
+
+    void setUp(long id, String plan, String tenant, String title, int waitMs, String figures, byte[] description) throws IOException {
         Seen seen = sessions.computeIfAbsent(id, k -> new Seen());
         lab.note(name + " sends SETUP " + hex(id) + " " + plan + " title " + title + " " + figures);
-        send(SET_UP, id, bytes.toByteArray());
+        send(SET_UP, id, setUpParameters(plan, tenant, title, waitMs, figures, description));
         seen.sentAt = lab.now();
     }
 
