Requests that wait are bounded in bytes, and each connection pays for its own

Cause: set-ups that were read and not yet asked for had a bound of 256 a connection and none together or in bytes. Evidence: OutOfMemoryError at a heap of 57 MB under 95 MB of requests of which no media host had read one. Why it works: what is held is counted from when it is read, and whoever holds much meets its part while there is room for whoever holds little.

--- a/src/main/java/cypressvalve/front/signal/SignalFront.java
+++ b/src/main/java/cypressvalve/front/signal/SignalFront.java
@@ -1,5 +1,6 @@
 package cypressvalve.front.signal;
 
+import cypressvalve.admission.SharedLimit;
 import cypressvalve.diagnostics.EventKind;
 import cypressvalve.diagnostics.EventLog;
 import cypressvalve.diagnostics.RequestInvariants;
@@ -10,6 +11,7 @@
 import cypressvalve.session.Session;
 import cypressvalve.session.SessionCore;
 import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Comparator;
@@ -51,8 +53,8 @@
     /** A client's release may be read so long before the set-up or hand-over that it belongs to, on another connection. */
     private static final long EARLY_RELEASE_KEPT = 30 * SECOND;
     private static final int MAX_QUEUED_BYTES = 256 * 1024;
-    /** The part of the memory that messages of all clients may hold together which are not whole. */
-    private static final int PARTIAL_MESSAGES_PART = 16;
+    /** What a request holds besides its description. */
+    private static final int REQUEST_OVERHEAD_BYTES = 1024;
     /**
      * A cancel may come on any connection: all are read before an attempt leaves where they were not read for so long, half of
      * the time that the protocol allows between a client's leaving and an attempt.
@@ -79,7 +81,7 @@
     private final SessionCore core;
     private final Settings settings;
     private final ToLongFunction<String> hosts;
-    private final int maxConnections;
+    private final FrontLimits limits;
     private final ByteBuffer buffer;
     private final Executor turn;
     private final Executor afterReading;
@@ -87,7 +89,10 @@
     private final RequestInvariants invariants;
     /** Requests that wait for their answer, by id. */
     private final Map<String, PendingRequest> openRequests = new HashMap<>();
-    private final long maxPartialBytes = Runtime.getRuntime().maxMemory() / PARTIAL_MESSAGES_PART;
+    /** Of all connections: requests that wait for their answer, their bytes, and bytes that wait to be written. */
+    private final SharedLimit openTogether;
+    private final SharedLimit requestBytesTogether;
+    private final SharedLimit queuedTogether;
     /** Held for messages that are not whole, of all connections. */
     private long partialBytes;
     private long allReadAt;
@@ -149,19 +154,22 @@
 
     /**
      * @param hosts a media host's number by its name
-     * @param mostConnections held at once
+     * @param limits on what all viewers hold together
      * @param buffer what is read into, shared by the thread's connections
      * @param turn runs what it is given once all that has come was read
      * @param afterReading runs what it is given after the loop has seen to what is due and has read its sockets again
      * @param events takes what happens to connections and requests
      * @param invariants is told of each request's receipt and end
      */
-    public SignalFront(SessionCore core, Settings settings, ToLongFunction<String> hosts, int maxConnections,
+    public SignalFront(SessionCore core, Settings settings, ToLongFunction<String> hosts, FrontLimits limits,
         ByteBuffer buffer, Executor turn, Executor afterReading, EventLog events, RequestInvariants invariants) {
         this.core = core;
         this.settings = settings;
         this.hosts = hosts;
-        this.maxConnections = maxConnections;
+        this.limits = limits;
+        openTogether = new SharedLimit(limits.openRequests());
+        requestBytesTogether = new SharedLimit(limits.requestBytes());
+        queuedTogether = new SharedLimit(limits.queuedBytes());
         this.buffer = buffer;
         this.turn = turn;
         this.afterReading = afterReading;
@@ -176,7 +184,7 @@
 
     /** A connection from viewers came. */
     public void accept(StreamConnection connection) {
-        if (clients.size() >= maxConnections && !evict()) {
+        if (clients.size() >= limits.connections() && !evict()) {
             org.xnio.IoUtils.safeClose(connection);
             events.record(EventKind.CLIENT_CLOSED, "no room for one more");
             return;
@@ -203,7 +211,7 @@
                 return true;
             }
         }
-        return clients.size() < maxConnections;
+        return clients.size() < limits.connections();
     }
 
     /** Looks after connections that say nothing; called some times a second. */
@@ -215,6 +223,7 @@
             }
         }
         pendingReleases.values().removeIf(o -> now - o.since > RELEASE_KEPT);
+        clients.forEach(ClientConnection::forgetSentAnswers);
         allEnded();
         usedIds.expire(now);
         earlyReleases.expire(now);
@@ -395,7 +404,7 @@
 
     /** Where messages that are not whole hold too much, the longest of them goes first, but for those beside open requests. */
     private void boundPartialMessages() {
-        while (partialBytes > maxPartialBytes) {
+        while (partialBytes > limits.partialBytes()) {
             ClientConnection largest = clients.stream().filter(client -> client.open.isEmpty())
                 .max(Comparator.comparingInt(client -> client.heldBytes)).filter(client -> client.heldBytes > 0).orElse(null);
             if (largest == null) {
@@ -411,8 +420,12 @@
         private final Duplex duplex;
         private final Signal.Reader reader = new Signal.Reader();
         private final Set<PendingRequest> open = new HashSet<>();
+        /** Bytes of the open requests. */
+        private long requestBytes;
         /** Answered here, and playing. */
         private final Set<PendingRequest> standing = new HashSet<>();
+        /** Those whose answer may wait to be written, the oldest first. */
+        private final ArrayDeque<PendingRequest> unsentAnswers = new ArrayDeque<>();
         private final long since = core.clock().now();
         /** When the first byte of the message came that is not whole yet. */
         private long partialSince = since;
@@ -429,7 +442,7 @@
         private boolean good;
 
         private ClientConnection(StreamConnection connection) {
-            duplex = new Duplex(connection, buffer, MAX_QUEUED_BYTES, this);
+            duplex = new Duplex(connection, buffer, MAX_QUEUED_BYTES, queuedTogether, this);
             note(EventKind.CLIENT_CONNECTED, null);
         }
 
@@ -511,8 +524,9 @@
                 w.hungUp();
             }
             if (broken) {
-                standing.stream().filter(request -> request.answerBytes != null && duplex.waits(request.answerBytes)).toList()
+                unsentAnswers.stream().filter(request -> duplex.waits(request.answerBytes)).toList()
                     .forEach(request -> core.end(request.session));
+                unsentAnswers.clear();
                 resendUnread(this);
             }
         }
@@ -609,14 +623,13 @@
             } else if (there != null || twin != null || usedIds.contains(signal.session())) {
                 // An id is used once: who uses another's, or its own again, is no viewer.
                 throw new Signal.Unreadable("an id that was used");
-            } else if (open.size() >= MAX_OPEN_REQUESTS) {
+            } else if (!hasRoomFor(wish.ask())) {
                 refuse(signal.session(), "too many open on the connection");
             } else {
                 markGood();
                 note(EventKind.REQUEST_RECEIVED, signal.session(), null);
                 PendingRequest request = new PendingRequest(this, signal.session(), wish.ask());
-                open.add(request);
-                openRequests.put(signal.id(), request);
+                request.opened();
                 invariants.received(signal.id());
                 usedIds.taken(signal.session(), core.clock().now());
                 if (earlyReleases.remove(signal.session())) {
@@ -628,6 +641,24 @@
             }
         }
 
+        /** Guards against connections that fill the memory, or the places of those who wait for an answer: they pay, others do not. */
+        private boolean hasRoomFor(Ask ask) {
+            return open.size() < MAX_OPEN_REQUESTS && openTogether.admits(open.size(), 1)
+                && requestBytesTogether.admits(requestBytes, heldBytes(ask));
+        }
+
+        private void holdAnswer(PendingRequest request) {
+            forgetSentAnswers();
+            unsentAnswers.add(request);
+        }
+
+        /** Answers leave in order: what is behind one that waits does, too. */
+        private void forgetSentAnswers() {
+            while (!unsentAnswers.isEmpty() && !duplex.waits(unsentAnswers.peek().answerBytes)) {
+                unsentAnswers.poll().answerBytes = null;
+            }
+        }
+
         /** What a set-up wants is not looked at during shutdown: with little of a core, refusals have to keep up with clients. */
         private void refuseUnread(Signal signal) throws Signal.Unreadable {
             PendingRequest twin = unasked.get(signal.session());
@@ -653,6 +684,7 @@
             }
             PendingRequest request = new PendingRequest(this, signal.session(), wish.ask());
             request.answered = true;
+            request.ask = null;
             standing.add(request);
             request.session = core.handOver(wish.ask(), hosts.applyAsLong(wish.at()), request);
             note(EventKind.SESSION_HANDED_OVER, signal.session(), request.session == null ? "refused" : request.session.state());
@@ -687,14 +719,20 @@
         }
     }
 
+    private static long heldBytes(Ask ask) {
+        return REQUEST_OVERHEAD_BYTES + ask.offer().description().length;
+    }
+
     /** One request, from its set-up to the end of what it led to. */
     private final class PendingRequest implements Answer {
         private final ClientConnection client;
         private final long id;
         private Ask ask;
+        /** Counted as long as it is open. */
+        private long bytes;
         private Session session;
         private boolean answered;
-        /** The answer that it plays, as written. */
+        /** The answer that it plays, as written; null once it has left. */
         private byte[] answerBytes;
 
         private PendingRequest(ClientConnection client, long id, Ask ask) {
@@ -703,6 +741,19 @@
             this.ask = ask;
         }
 
+        private void opened() {
+            bytes = SignalFront.heldBytes(ask);
+            client.open.add(this);
+            openRequests.put(Signal.id(id), this);
+            count(1, bytes);
+        }
+
+        private void count(int requests, long requestBytes) {
+            client.requestBytes += requestBytes;
+            openTogether.add(requests);
+            requestBytesTogether.add(requestBytes);
+        }
+
         private void ask() {
             if (!answered) {
                 Ask wish = ask;
@@ -715,8 +766,11 @@
         }
 
         private void close() {
-            client.open.remove(this);
-            openRequests.remove(Signal.id(id), this);
+            if (client.open.remove(this)) {
+                openRequests.remove(Signal.id(id), this);
+                count(-1, -bytes);
+            }
+            ask = null;
         }
 
         private void answer(byte[] message) {
@@ -749,6 +803,7 @@
                 session = plays;
                 answerBytes = Signal.message(Signal.ANSWER, id, Signal.DESCRIPTION, description);
                 client.standing.add(this);
+                client.holdAnswer(this);
                 answer(answerBytes);
             }
         }
--- a/src/main/java/cypressvalve/front/signal/Wish.java
+++ b/src/main/java/cypressvalve/front/signal/Wish.java
@@ -64,7 +64,7 @@
         int copies = whole(figures, "copies", Integer.MAX_VALUE);
         int top = figures.containsKey("top") ? whole(figures, "top", Integer.MAX_VALUE) : settings.ladder.length - 1;
         return new Wish(new Ask("", title, plan, tenant, top, hint == null ? 0 : (long) (number(hint, "hint", MOST_MS) * MS),
-            (long) (wait * MS), null, new Ask.Offer(set.id(), description, first, copies)), at);
+            (long) (wait * MS), null, new Ask.Offer(set.id(), at == null ? description : null, first, copies)), at);
     }
 
     private static String present(Signal set, int code) throws Refused {
--- a/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
+++ b/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
@@ -1,5 +1,6 @@
 package cypressvalve.host.rtsp;
 
+import cypressvalve.admission.SharedLimit;
 import cypressvalve.diagnostics.EventKind;
 import cypressvalve.diagnostics.EventLog;
 import cypressvalve.host.AttemptGuard;
@@ -45,6 +46,8 @@
     private static final int NORMAL_CLEARING = 16;
     private static final int WITHDRAWN = 31;
     private static final int MAX_QUEUED_BYTES = 256 * 1024;
+    /** What waits to be written to all hosts gets this part of the heap. */
+    private static final int QUEUED_HEAP_PART = 8;
     private static final long SWEEP_MS = 250;
     /** A connection of no use is still read for so long after its last byte: what ended is said on it. */
     private static final long RETIRED_GRACE = ConnectionBudget.END_TIMEOUT;
@@ -87,6 +90,7 @@
     /** Whether hosts may be tested, which they have to answer. */
     private final boolean mayTest;
     private final AnswerJudge judge = new AnswerJudge();
+    private final SharedLimit queuedTogether = new SharedLimit(Runtime.getRuntime().maxMemory() / QUEUED_HEAP_PART);
     /** Attempts that were given up and are not known to be over. */
     private final Set<Attempt> unproven = new LinkedHashSet<>();
     /** Pools of hosts that have another address by now, until their connections are closed. */
@@ -871,7 +875,7 @@
             longestConnect = Math.max(longestConnect, life.upAt() - life.begunAt());
             pool.connectedAt = life.upAt();
             note(EventKind.HOST_CONNECTED, null);
-            duplex = new Duplex(channel, buffer, MAX_QUEUED_BYTES, this);
+            duplex = new Duplex(channel, buffer, MAX_QUEUED_BYTES, queuedTogether, this);
             duplex.start();
             pool.lifeline.connected(System.nanoTime());
             pool.repeats.connected(life.begunAt());
--- a/src/main/java/cypressvalve/net/Duplex.java
+++ b/src/main/java/cypressvalve/net/Duplex.java
@@ -1,5 +1,6 @@
 package cypressvalve.net;
 
+import cypressvalve.admission.SharedLimit;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
@@ -42,6 +43,7 @@
     private final ConduitStreamSinkChannel sink;
     private final ByteBuffer buffer;
     private final int mostQueued;
+    private final SharedLimit queuedTogether;
     private final Taker taker;
     private final ArrayDeque<ByteBuffer> queue = new ArrayDeque<>();
     private int queued;
@@ -60,9 +62,19 @@
      * @param mostQueued bytes that may wait to be written
      */
     public Duplex(StreamConnection connection, ByteBuffer buffer, int mostQueued, Taker taker) {
+        this(connection, buffer, mostQueued, SharedLimit.unlimited(), taker);
+    }
+
+    /**
+     * The same, of several that share the memory for what waits to be written.
+     *
+     * @param queuedTogether bytes that may wait on all of them; a peer that does not take what it is sent is closed over its part
+     */
+    public Duplex(StreamConnection connection, ByteBuffer buffer, int mostQueued, SharedLimit queuedTogether, Taker taker) {
         this.connection = connection;
         this.buffer = buffer;
         this.mostQueued = mostQueued;
+        this.queuedTogether = queuedTogether;
         this.taker = taker;
         sink = connection.getSinkChannel();
         sink.setWriteListener(s -> flush());
@@ -178,7 +190,7 @@
             return;
         }
         queue.add(ByteBuffer.wrap(bytes));
-        queued += bytes.length;
+        countQueued(bytes.length);
         if (queued > mostQueued) {
             over();
         } else if (queue.size() == 1 && !taking) {
@@ -199,20 +211,28 @@
     /** Takes back bytes given to {@link #write}; false if any of them have left. */
     public boolean takeBack(byte[] bytes) {
         boolean back = queue.removeIf(b -> b.array() == bytes && b.position() == 0);
-        queued -= back ? bytes.length : 0;
+        countQueued(back ? -bytes.length : 0);
         return back;
     }
 
+    /** What waits in a connection that has closed is counted no more. */
+    private void countQueued(int more) {
+        if (!closed) {
+            queued += more;
+            queuedTogether.add(more);
+        }
+    }
+
     private void flush() {
         try {
             while (!queue.isEmpty()) {
                 ByteBuffer[] next = queue.stream().limit(WRITTEN_TOGETHER).toArray(ByteBuffer[]::new);
-                queued -= (int) sink.write(next, 0, next.length);
+                countQueued((int) -sink.write(next, 0, next.length));
                 while (!queue.isEmpty() && !queue.peek().hasRemaining()) {
                     queue.poll();
                 }
                 if (next[next.length - 1].hasRemaining()) {
-                    sink.resumeWrites();
+                    awaitWritable();
                     return;
                 }
             }
@@ -234,6 +254,15 @@
         }
     }
 
+    /** The peer takes no more for now. */
+    private void awaitWritable() {
+        if (queuedTogether.allows(queued)) {
+            sink.resumeWrites();
+        } else {
+            over();
+        }
+    }
+
     /** What the peer said before it broke the connection is taken first, in a task of its own: a taker may have led to the write. */
     private void overAfterReading() {
         if (closing) {
@@ -309,6 +338,7 @@
     }
 
     private void shut() {
+        countQueued(-queued);
         closed = true;
         IoUtils.safeClose(connection);
     }
--- a/src/main/java/cypressvalve/run/PlatformNode.java
+++ b/src/main/java/cypressvalve/run/PlatformNode.java
@@ -10,6 +10,7 @@
 import cypressvalve.fleet.stream.Change;
 import cypressvalve.fleet.stream.HostIds;
 import cypressvalve.fleet.stream.StreamFollower;
+import cypressvalve.front.signal.FrontLimits;
 import cypressvalve.front.signal.SignalFront;
 import cypressvalve.front.signal.Titles;
 import cypressvalve.host.AttemptGuard;
@@ -57,6 +58,8 @@
     /** Requests that wait for their answer, and sessions: far over what the platform sends, under what memory holds. */
     private static final int MOST_OPEN = 400;
     private static final int MOST_SESSIONS = 10_000;
+    /** What a session may hold of the heap, so that all of them fit a part of it. */
+    private static final long HEAP_BYTES_A_SESSION = 4_096;
     /** A loop on a part of a core is stopped now and then for a few whole periods of its quota. */
     private static final long LATE = 400_000_000L;
     /** What is left in write queues at the very end gets so long. */
@@ -131,14 +134,16 @@
                 events.record(EventKind.DISCOVERY, line);
             });
         Clock clock = Clock.anchored();
+        long heap = Runtime.getRuntime().maxMemory();
+        int mostSessions = (int) Math.min(MOST_SESSIONS, heap / HEAP_BYTES_A_SESSION);
         core = new SessionCore(new Titles(settings.shares()), settings.control(), settings.seed(), clock,
-            new XnioLoop(polls), client, follower, MOST_SESSIONS, new Gate.Limits(MOST_OPEN, LATE), counts,
+            new XnioLoop(polls), client, follower, mostSessions, new Gate.Limits(MOST_OPEN, LATE), counts,
             cause -> {
                 events.writeTo(log, EVENTS_KEPT);
                 onFailure.accept(cause);
             });
         notes.core = core;
-        front = new SignalFront(core, settings.control(), HostIds::of, (int) (settings.sockets() * VIEWERS_PART), buffer,
+        front = new SignalFront(core, settings.control(), HostIds::of, FrontLimits.ofHeap((int) (settings.sockets() * VIEWERS_PART), MOST_OPEN, heap), buffer,
             thread::execute, polls::afterNext, events, invariants);
     }
 
--- a/src/main/java/cypressvalve/session/Ask.java
+++ b/src/main/java/cypressvalve/session/Ask.java
@@ -21,7 +21,7 @@
      * What some protocols' viewers bring: it goes to the media host as it came.
      *
      * @param id the viewer's own id of the playback; none is used twice
-     * @param description what the media host is to read
+     * @param description what the media host is to read; null where it has read that
      * @param first the first cell that holds the title, of copies in a row
      */
     public record Offer(String id, byte[] description, int first, int copies) { }
@@ -36,6 +36,12 @@
         return new Ask(viewer, title, plan, tenant, ceiling, hint, patience, by, offer);
     }
 
+    /** The same, without what the media host is to read. */
+    Ask withoutDescription() {
+        return offer == null ? this
+            : new Ask(viewer, title, plan, tenant, ceiling, hint, patience, grant, new Offer(offer.id, null, offer.first, offer.copies));
+    }
+
     /** What a media host keeps of it, for a gateway that takes the session up anew. */
     String about() {
         return ceiling + " " + hint + " " + URLEncoder.encode(tenant, StandardCharsets.UTF_8) + " "
--- a/src/main/java/cypressvalve/session/Session.java
+++ b/src/main/java/cypressvalve/session/Session.java
@@ -13,12 +13,12 @@
     /** Why a session is over. */
     public enum End { REJECTED, FAILED, LEFT, SILENT, HOST_LOST, MOVED, DRAINED, EXPIRED }
 
-    private final Ask ask;
+    private Ask ask;
     final Playback playback;
     final List<Answer> waiting = new ArrayList<>();
     /** Who is told of its end once it plays. */
     Answer watching;
-    /** What the media host said of it, null where it said nothing. */
+    /** What the media host said of it, until its answer has gone out; null where it said nothing. */
     byte[] description;
     /** What its media host said before its answer was read; null if nothing. */
     EarlyNotes earlyNotes;
@@ -48,6 +48,11 @@
         return ask;
     }
 
+    /** What was offered to the media host is of no more use: it is not kept for as long as the session plays. */
+    void forgetOffered() {
+        ask = ask.withoutDescription();
+    }
+
     public State state() {
         return state;
     }
@@ -67,7 +72,7 @@
         return host;
     }
 
-    /** What the media host said of it at its start, as it came; null where it said nothing. */
+    /** What the media host said of it at its start, as it came; null where it said nothing, and once that was passed on. */
     public byte[] description() {
         return description;
     }
--- a/src/main/java/cypressvalve/session/SessionCore.java
+++ b/src/main/java/cypressvalve/session/SessionCore.java
@@ -641,6 +641,8 @@
             control.loadTold(setupTry, report.link(), report.uplink());
         }
         answer(session, "playing", a -> a.playing(session));
+        after.add(() -> session.description = null);
+        session.forgetOffered();
         takeEarlyNotes(session, setupTry);
         follow(setupTry.host); // It may tell at once that the host is lost: the answer goes first.
         if (ends.of(address, session.id()) != null && triesAt(setupTry.host, session) > 1) {
--- a/src/main/java/cypressvalve/soak/ClientEmulator.java
+++ b/src/main/java/cypressvalve/soak/ClientEmulator.java
@@ -136,7 +136,7 @@
         return message(SET_UP, request.id(), parameters(request, "", DescriptionForm.PAGE.offer(id(request.id()))));
     }
 
-    private static byte[] parameters(SetUp request, String more, String description) {
+    static byte[] parameters(SetUp request, String more, String description) {
         ByteArrayOutputStream parameters = new ByteArrayOutputStream();
         parameter(parameters, CLASS, request.plan());
         parameter(parameters, PATIENCE, String.valueOf(request.patienceMillis()));
@@ -202,7 +202,7 @@
         }
     }
 
-    private static String id(long id) {
+    static String id(long id) {
         return String.format("%016x", id);
     }
 
--- a/src/main/java/cypressvalve/soak/HostileClients.java
+++ b/src/main/java/cypressvalve/soak/HostileClients.java
@@ -12,7 +12,8 @@
 
 /**
  * Clients that no usual client is like: they hold many connections with messages that never get whole, or send at full speed on one. They
- * read whatever they are sent. Nothing that they say is recorded, as they are owed no more than a refusal or a close.
+ * read whatever they are sent. Nothing that they say is recorded but what media hosts may be sent, as they are owed no more than a refusal or
+ * a close.
  */
 final class HostileClients implements AutoCloseable {
     private static final int MAX_MESSAGE = 16 * 1024;
@@ -23,6 +24,9 @@
     private static final int CONNECT_MILLIS = 2_000;
     private static final int FLOOD_BYTES = 32 * 1024;
     private static final long SLOW_MILLIS = 50;
+    private static final int PATIENCE_MILLIS = 1_000;
+    /** So that a set-up, and what is made of it for a media host, fits a message. */
+    private static final int LONG_DESCRIPTION_BYTES = 15_800;
 
     /** What a connection that is held says. */
     enum Held {
@@ -57,6 +61,47 @@
         this.chance = chance;
     }
 
+    /**
+     * Sends so many whole requests at once on one connection, each as long as a message may be; what they offer is recorded, as media
+     * hosts may be sent it.
+     *
+     * @param at the media host at which they are said to play already; null where they are new
+     */
+    void burst(int requests, int copies, String at, EventRecord record) {
+        ByteArrayOutputStream all = new ByteArrayOutputStream();
+        for (int i = 0; i < requests; i++) {
+            ClientEmulator.SetUp request = new ClientEmulator.SetUp(nextId(), "a", "t", "abcdef", PATIENCE_MILLIS, copies);
+            String description = lengthened(DescriptionForm.PAGE.offer(ClientEmulator.id(request.id())));
+            record.add(Event.Kind.REQUEST_OFFERED, "hostile", ClientEmulator.id(request.id()),
+                ClientEmulator.offer(request.plan(), request.title(), description));
+            all.writeBytes(ClientEmulator.message(SET_UP, request.id(),
+                ClientEmulator.parameters(request, at == null ? "" : ";at:" + at, description)));
+        }
+        start(() -> {
+            try (Socket socket = connected()) {
+                start(() -> drain(socket));
+                socket.getOutputStream().write(all.toByteArray());
+                while (!closed) {
+                    TimeUnit.MILLISECONDS.sleep(SLOW_MILLIS);
+                }
+            }
+        });
+    }
+
+    private long nextId() {
+        synchronized (chance) {
+            return chance.nextLong();
+        }
+    }
+
+    private static String lengthened(String description) {
+        StringBuilder text = new StringBuilder(description);
+        for (int i = 0; text.length() < LONG_DESCRIPTION_BYTES; i++) {
+            text.append("a=candidate:").append(i).append(" 1 UDP 2130706431\r\n");
+        }
+        return text.toString();
+    }
+
     /** Opens one more connection of that kind, and again where the gateway closes it. */
     void hold(Held kind) {
         byte[] message = kind == Held.SHORT_PARAMETERS ? shortParameters() : large();
@@ -134,12 +179,8 @@
     private byte[] messages(Flood kind) {
         ByteArrayOutputStream all = new ByteArrayOutputStream();
         while (all.size() < FLOOD_BYTES) {
-            long id;
-            String name;
-            synchronized (chance) {
-                id = chance.nextLong();
-                name = Long.toHexString(chance.nextLong());
-            }
+            long id = nextId();
+            String name = Long.toHexString(nextId());
             all.writeBytes(switch (kind) {
                 case TESTS -> ClientEmulator.message(TEST, id, new byte[] {(byte) 171, 0, 1, 0});
                 case UNKNOWN_RELEASES -> ClientEmulator.message(RELEASE, id, new byte[] {(byte) 171, 0, 1, 16});
--- a/src/test/java/cypressvalve/soak/HostileClientsTest.java
+++ b/src/test/java/cypressvalve/soak/HostileClientsTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Usual clients are served, and the process stays within its memory, beside clients that hold or flood its connections. */
 @Timeout(120)
@@ -24,6 +25,8 @@
     private static final int LEAST_MEMORY_MEGABYTES = 32;
     private static final int DESCRIPTORS = Integer.getInteger("descriptors", 1_024);
     private static final int HELD_CONNECTIONS = 500;
+    private static final int BURSTING_CLIENTS = 24;
+    private static final int REQUESTS_AT_ONCE = 250;
     private static final int PATIENCE_MILLIS = 1_000;
     private static final int REQUESTS = Integer.getInteger("requests", 120);
     private static final long GAP_MILLIS = 40;
@@ -51,6 +54,7 @@
         assertTrue(record.await(ANSWERS, REQUESTS, MOST_MILLIS), "not all were answered");
         assertTrue(gateway.alive(), () -> "the process ended: " + gateway.log());
         assertRulesKept();
+        System.out.println("served " + record.count(Event.Kind.ANSWER_SERVED) + " of " + REQUESTS);
         assertTrue(record.count(Event.Kind.ANSWER_SERVED) >= REQUESTS / 2, "served " + record.count(Event.Kind.ANSWER_SERVED));
     }
 
@@ -96,6 +100,19 @@
         }
     }
 
+    /** Guards against a process that ends for memory, as requests that wait were bounded in number alone, and that for each connection. */
+    @ParameterizedTest
+    @ValueSource(ints = {64, 128, 192})
+    void hundredsOfLargeRequestsAtOnceNeitherEndTheProcessNorCostOthersTheirAnswers(int memoryMegabytes) throws Exception {
+        startDeployed(4, PATIENCE_MILLIS, memoryMegabytes, DESCRIPTORS);
+        try (HostileClients clients = hostile()) {
+            for (int i = 0; i < BURSTING_CLIENTS; i++) {
+                clients.burst(REQUESTS_AT_ONCE, hosts.size(), null, record);
+            }
+            assertUsualClientsAreServed();
+        }
+    }
+
     /** Guards against set-ups that are sent on though their client has left, as its end is behind much that is unread. */
     @Test
     void whatAClientSentBeforeItLeftIsNotSentOnThoughMuchOfItIsUnread() throws Exception {
