Who holds the most of a shared limit gives back for whoever holds far less

Cause: dynamic thresholds leave 2/3^k of a limit to the k-th connection that takes all it can, as nobody gives back what it holds: a handful with small requests would leave no room. Ends to be told were dropped oldest first, whoever had told the most. Change: SharedLimit drops from the longest holder, for one that would hold half as much at most. Waiting requests are answered newest first, those that were not asked for before others; the connection with the longest write queue is closed; ends to be told go from the connection that has the most.

--- a/src/main/java/cypressvalve/admission/SharedLimit.java
+++ b/src/main/java/cypressvalve/admission/SharedLimit.java
@@ -1,56 +1,66 @@
 package cypressvalve.admission;
 
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+
 /**
- * A limit that many holders share by dynamic thresholds: each may hold at most a multiple of what is free at the moment. Whoever holds
- * much meets its own threshold while there is room left for all who hold little, however many hold much. Free of I/O and clocks.
+ * A limit on what many holders have together. Where it is met, the one that holds the most gives back for whoever holds far less, however
+ * many there are; others get no more. Free of I/O and clocks.
+ *
+ * <p>Source: longest queue drop, as in B. Suter, T. V. Lakshman, D. Stiliadis and A. K. Choudhury, "Design considerations for supporting
+ * TCP with per-flow queueing", IEEE INFOCOM 1998.
  *
- * <p>Source: A. K. Choudhury and E. L. Hahne, "Dynamic queue length thresholds for shared-memory packet switches", IEEE/ACM
- * Transactions on Networking 6(2), 1998.
+ * @param <H> a holder, told by identity or {@code equals}
  */
-public final class SharedLimit {
-    /** A single holder may take two thirds of the whole; two take four fifths together. */
-    private static final long MULTIPLE_OF_FREE = 2;
-    /** Far more than is ever held, and small enough to be multiplied. */
-    private static final long UNLIMITED = Long.MAX_VALUE / 4;
+public final class SharedLimit<H> {
+    /** Holders that have about as much do not take it from each other to and fro. */
+    private static final int TIMES_AS_MUCH = 2;
 
     private final long most;
     private long held;
+    /** Of those that hold something. */
+    private final Map<H, Long> byHolder = new LinkedHashMap<>();
 
-    /** @param most what all holders may hold together, in their unit */
+    /** @param most what all may hold together, in their unit */
     public SharedLimit(long most) {
-        this.most = Math.min(most, UNLIMITED);
-    }
-
-    /** A limit that nobody meets. */
-    public static SharedLimit unlimited() {
-        return new SharedLimit(UNLIMITED);
+        this.most = most;
     }
 
-    /** Whether one that holds so much may take more. */
-    public boolean admits(long own, long more) {
-        return isWithinShare(own + more, free() - more);
+    /** Counts what a holder has taken; below 0 what it has given back. */
+    public void add(H holder, long amount) {
+        held += amount;
+        byHolder.merge(holder, amount, SharedLimit::sumOrNone);
     }
 
-    /** Whether one may keep what it holds, which is counted already. */
-    public boolean allows(long own) {
-        return isWithinShare(own, free());
+    private static Long sumOrNone(long before, long more) {
+        return before + more == 0 ? null : before + more;
     }
 
-    private static boolean isWithinShare(long own, long free) {
-        return free >= 0 && own <= MULTIPLE_OF_FREE * free;
+    /** What all hold together. */
+    public long held() {
+        return held;
     }
 
-    /** Counts what a holder has taken; below 0 what it has given back. */
-    public void add(long amount) {
-        held += amount;
+    /**
+     * Who has to give something back for another to take more.
+     *
+     * @return empty where there is room; the holder itself where nobody else holds at least {@link #TIMES_AS_MUCH} times what it would then
+     */
+    public Optional<H> payerFor(H holder, long more) {
+        if (held + more <= most) {
+            return Optional.empty();
+        }
+        return Optional.of(largest().filter(entry -> entry.getValue() >= TIMES_AS_MUCH * (byHolder.getOrDefault(holder, 0L) + more))
+            .map(Map.Entry::getKey).orElse(holder));
     }
 
-    /** What all hold together. */
-    public long held() {
-        return held;
+    /** The one that holds the most where all hold too much together. */
+    public Optional<H> payer() {
+        return held <= most ? Optional.empty() : largest().map(Map.Entry::getKey);
     }
 
-    private long free() {
-        return most - held;
+    private Optional<Map.Entry<H, Long>> largest() {
+        return byHolder.entrySet().stream().max(Map.Entry.comparingByValue());
     }
 }
--- a/src/main/java/cypressvalve/front/signal/SignalFront.java
+++ b/src/main/java/cypressvalve/front/signal/SignalFront.java
@@ -17,11 +17,11 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.function.Predicate;
@@ -90,9 +90,10 @@
     /** Requests that wait for their answer, by id. */
     private final Map<String, PendingRequest> openRequests = new HashMap<>();
     /** Of all connections: requests that wait for their answer, their bytes, and bytes that wait to be written. */
-    private final SharedLimit openTogether;
-    private final SharedLimit requestBytesTogether;
-    private final SharedLimit queuedTogether;
+    private final SharedLimit<ClientConnection> openTogether;
+    private final SharedLimit<ClientConnection> requestBytesTogether;
+    private final SharedLimit<Duplex> queuedTogether;
+    private final SharedLimit<ClientConnection> releasesTogether = new SharedLimit<>(MAX_PENDING_RELEASES);
     /** Held for messages that are not whole, of all connections. */
     private long partialBytes;
     private long allReadAt;
@@ -121,6 +122,7 @@
 
     /** The end of what stood, from when its viewer is owed it until it was surely read or is owed no more. */
     private static final class PendingRelease {
+        private final ClientConnection owner;
         private final long id;
         private final byte[] message;
         private final long since;
@@ -131,7 +133,8 @@
         /** How many other connections it goes out on yet. */
         private int others;
 
-        private PendingRelease(long id, byte[] message, long since) {
+        private PendingRelease(ClientConnection owner, long id, byte[] message, long since) {
+            this.owner = owner;
             this.id = id;
             this.message = message;
             this.since = since;
@@ -167,9 +170,9 @@
         this.settings = settings;
         this.hosts = hosts;
         this.limits = limits;
-        openTogether = new SharedLimit(limits.openRequests());
-        requestBytesTogether = new SharedLimit(limits.requestBytes());
-        queuedTogether = new SharedLimit(limits.queuedBytes());
+        openTogether = new SharedLimit<>(limits.openRequests());
+        requestBytesTogether = new SharedLimit<>(limits.requestBytes());
+        queuedTogether = new SharedLimit<>(limits.queuedBytes());
         this.buffer = buffer;
         this.turn = turn;
         this.afterReading = afterReading;
@@ -222,7 +225,7 @@
                 client.end("silent");
             }
         }
-        pendingReleases.values().removeIf(o -> now - o.since > RELEASE_KEPT);
+        pendingReleases.values().stream().takeWhile(release -> now - release.since > RELEASE_KEPT).toList().forEach(this::forget);
         clients.forEach(ClientConnection::forgetSentAnswers);
         allEnded();
         usedIds.expire(now);
@@ -350,14 +353,9 @@
      */
     private void sendRelease(ClientConnection first, long id, byte[] message) {
         long now = core.clock().now();
-        if (pendingReleases.size() >= MAX_PENDING_RELEASES) {
-            Iterator<PendingRelease> oldest = pendingReleases.values().iterator();
-            oldest.next();
-            oldest.remove();
-        }
-        PendingRelease end = new PendingRelease(id, message, now);
-        pendingReleases.remove(id);
-        pendingReleases.put(id, end);
+        PendingRelease end = new PendingRelease(first, id, message, now);
+        forget(pendingReleases.get(id));
+        remember(end);
         if (first.duplex.isOpen()) {
             end.tell(first, now, "own connection");
         } else {
@@ -365,6 +363,24 @@
         }
     }
 
+    /** Where too many are remembered, the oldest of the connection that has the more goes: one client's ends cost no other's. */
+    private void remember(PendingRelease release) {
+        ClientConnection owner = release.owner;
+        releasesTogether.payerFor(owner, 1).ifPresent(payer ->
+            forget((payer.releases.isEmpty() ? pendingReleases.values() : payer.releases).iterator().next()));
+        pendingReleases.put(release.id, release);
+        owner.releases.add(release);
+        releasesTogether.add(owner, 1);
+    }
+
+    /** @param release null for none */
+    private void forget(PendingRelease release) {
+        if (release != null && pendingReleases.remove(release.id, release)) {
+            release.owner.releases.remove(release);
+            releasesTogether.add(release.owner, -1);
+        }
+    }
+
     private void resendElsewhere(PendingRelease end, long now) {
         end.others = OTHER_CONNECTIONS;
         // Where something stands or waits there are usual viewers; the last that came are likeliest to stay.
@@ -419,13 +435,13 @@
         private final long number = ++accepted;
         private final Duplex duplex;
         private final Signal.Reader reader = new Signal.Reader();
-        private final Set<PendingRequest> open = new HashSet<>();
-        /** Bytes of the open requests. */
-        private long requestBytes;
+        private final Set<PendingRequest> open = new LinkedHashSet<>();
         /** Answered here, and playing. */
         private final Set<PendingRequest> standing = new HashSet<>();
         /** Those whose answer may wait to be written, the oldest first. */
         private final ArrayDeque<PendingRequest> unsentAnswers = new ArrayDeque<>();
+        /** Ends that are remembered of what stood or was to stand here, the oldest first. */
+        private final Set<PendingRelease> releases = new LinkedHashSet<>();
         private final long since = core.clock().now();
         /** When the first byte of the message came that is not whole yet. */
         private long partialSince = since;
@@ -572,7 +588,9 @@
                 case Signal.SET_UP -> setUp(signal);
                 case Signal.RELEASE -> release(signal);
                 case Signal.RELEASE_HEARD -> {
-                    if (pendingReleases.remove(signal.session()) != null) {
+                    PendingRelease heard = pendingReleases.get(signal.session());
+                    if (heard != null) {
+                        forget(heard);
                         note(EventKind.RELEASE_ACKNOWLEDGED, signal.session(), null);
                     }
                 }
@@ -623,7 +641,7 @@
             } else if (there != null || twin != null || usedIds.contains(signal.session())) {
                 // An id is used once: who uses another's, or its own again, is no viewer.
                 throw new Signal.Unreadable("an id that was used");
-            } else if (!hasRoomFor(wish.ask())) {
+            } else if (!makeRoomFor(wish.ask())) {
                 refuse(signal.session(), "too many open on the connection");
             } else {
                 markGood();
@@ -642,9 +660,25 @@
         }
 
         /** Guards against connections that fill the memory, or the places of those who wait for an answer: they pay, others do not. */
-        private boolean hasRoomFor(Ask ask) {
-            return open.size() < MAX_OPEN_REQUESTS && openTogether.admits(open.size(), 1)
-                && requestBytesTogether.admits(requestBytes, heldBytes(ask));
+        private boolean makeRoomFor(Ask ask) {
+            return open.size() < MAX_OPEN_REQUESTS && makeRoom(openTogether, 1) && makeRoom(requestBytesTogether, heldBytes(ask));
+        }
+
+        private boolean makeRoom(SharedLimit<ClientConnection> limit, long more) {
+            Optional<ClientConnection> payer = limit.payerFor(this, more);
+            while (payer.isPresent() && payer.get() != this && payer.get().giveUpNewest()) {
+                payer = limit.payerFor(this, more);
+            }
+            return payer.isEmpty();
+        }
+
+        /** Answers the request that came last, best one that was not asked for yet; whether one was given up. */
+        private boolean giveUpNewest() {
+            PendingRequest newest = null;
+            for (PendingRequest request : open) {
+                newest = newest == null || !request.isAsked() || newest.isAsked() ? request : newest;
+            }
+            return newest != null && newest.giveUp();
         }
 
         private void holdAnswer(PendingRequest request) {
@@ -749,9 +783,8 @@
         }
 
         private void count(int requests, long requestBytes) {
-            client.requestBytes += requestBytes;
-            openTogether.add(requests);
-            requestBytesTogether.add(requestBytes);
+            openTogether.add(client, requests);
+            requestBytesTogether.add(client, requestBytes);
         }
 
         private void ask() {
@@ -784,6 +817,21 @@
             }
         }
 
+        private boolean isAsked() {
+            return ask == null;
+        }
+
+        /** Refuses it for another's, or has it answered at once where it may be at a media host; whether it is over. */
+        private boolean giveUp() {
+            if (unasked.remove(id, this)) {
+                client.note(EventKind.REQUEST_REFUSED, id, "given up for another connection's");
+                rejected(0);
+            } else if (session != null) {
+                core.answerNow(session);
+            }
+            return answered;
+        }
+
         private void hungUp() {
             if (!answered) {
                 answered = true;
--- a/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
+++ b/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
@@ -90,7 +90,7 @@
     /** Whether hosts may be tested, which they have to answer. */
     private final boolean mayTest;
     private final AnswerJudge judge = new AnswerJudge();
-    private final SharedLimit queuedTogether = new SharedLimit(Runtime.getRuntime().maxMemory() / QUEUED_HEAP_PART);
+    private final SharedLimit<Duplex> queuedTogether = new SharedLimit<>(Runtime.getRuntime().maxMemory() / QUEUED_HEAP_PART);
     /** Attempts that were given up and are not known to be over. */
     private final Set<Attempt> unproven = new LinkedHashSet<>();
     /** Pools of hosts that have another address by now, until their connections are closed. */
--- a/src/main/java/cypressvalve/net/Duplex.java
+++ b/src/main/java/cypressvalve/net/Duplex.java
@@ -43,7 +43,7 @@
     private final ConduitStreamSinkChannel sink;
     private final ByteBuffer buffer;
     private final int mostQueued;
-    private final SharedLimit queuedTogether;
+    private final SharedLimit<Duplex> queuedTogether;
     private final Taker taker;
     private final ArrayDeque<ByteBuffer> queue = new ArrayDeque<>();
     private int queued;
@@ -62,15 +62,16 @@
      * @param mostQueued bytes that may wait to be written
      */
     public Duplex(StreamConnection connection, ByteBuffer buffer, int mostQueued, Taker taker) {
-        this(connection, buffer, mostQueued, SharedLimit.unlimited(), taker);
+        this(connection, buffer, mostQueued, new SharedLimit<>(Long.MAX_VALUE / 2), taker);
     }
 
     /**
      * The same, of several that share the memory for what waits to be written.
      *
-     * @param queuedTogether bytes that may wait on all of them; a peer that does not take what it is sent is closed over its part
+     * @param queuedTogether bytes that may wait on all of them; where they are too many, the one on which the most wait is closed
      */
-    public Duplex(StreamConnection connection, ByteBuffer buffer, int mostQueued, SharedLimit queuedTogether, Taker taker) {
+    public Duplex(StreamConnection connection, ByteBuffer buffer, int mostQueued, SharedLimit<Duplex> queuedTogether,
+        Taker taker) {
         this.connection = connection;
         this.buffer = buffer;
         this.mostQueued = mostQueued;
@@ -217,9 +218,9 @@
 
     /** What waits in a connection that has closed is counted no more. */
     private void countQueued(int more) {
-        if (!closed) {
+        if (!closed && more != 0) {
             queued += more;
-            queuedTogether.add(more);
+            queuedTogether.add(this, more);
         }
     }
 
@@ -254,12 +255,11 @@
         }
     }
 
-    /** The peer takes no more for now. */
+    /** The peer takes no more for now. Whoever leaves the most unread is closed, in a task of its own: it may be within its taker now. */
     private void awaitWritable() {
-        if (queuedTogether.allows(queued)) {
-            sink.resumeWrites();
-        } else {
-            over();
+        sink.resumeWrites();
+        if (queuedTogether.payer().isPresent()) {
+            connection.getIoThread().execute(() -> queuedTogether.payer().ifPresent(Duplex::over));
         }
     }
 
--- a/src/main/java/cypressvalve/session/SessionCore.java
+++ b/src/main/java/cypressvalve/session/SessionCore.java
@@ -335,6 +335,13 @@
             .forEach(s -> s.playback.abandonAt = Math.min(s.playback.abandonAt, time)));
     }
 
+    /** Whoever waits for this session's answer gets it at once, as if its time were up. */
+    public void answerNow(Session session) {
+        if (session.state == Session.State.OPENING) {
+            input(() -> session.playback.abandonAt = Math.min(session.playback.abandonAt, now()));
+        }
+    }
+
     /** A list of media hosts came: all of them, or what has changed. */
     public void listed(Collection<ListEntry> entries, boolean whole) {
         input(() -> {
