Sessions handed over count as far as their media host can carry and shows them

Cause: any id counted as playing, at a host 80 times full and its whole rack; and tally, underused and unheard went through all that is held for each event. Change: HandOvers decides what counts: what the link can carry, less what a later report speaks against; the host's word confirms. All are held and their ends told. MediaHost keeps counts by plan, rung and stream.

--- a/src/main/java/cypressvalve/Control.java
+++ b/src/main/java/cypressvalve/Control.java
@@ -34,6 +34,7 @@
     private long startedAt;
     private boolean beganWithDay;
     private long wakeAt = Long.MIN_VALUE;
+    private final WorkBudget looks = new WorkBudget(MOST_LOOKS, BEAT);
     private boolean mustFollow;
     private double price;
     private Plan worst;
@@ -84,8 +85,7 @@
             hosts.put(host.id, host);
             racks.computeIfAbsent(Math.floorMod(host.cell, settings.racks), Rack::new).take(host);
         }
-        hosts.values().removeIf(h -> h.state == MediaHost.State.GONE
-            && h.carried.isEmpty() && h.rack.drop(h));
+        hosts.values().removeIf(h -> h.state == MediaHost.State.GONE && !h.carries() && h.rack.drop(h));
     }
 
     public void listFailed() {
@@ -105,7 +105,6 @@
         carry(pb.lastTry());
         begin(pb);
         pb.rungSince -= life(STEP_UP_AFTER) / 2; // Low rungs handed over need not wait in full.
-        host.tally(now, settings.joinShare);
     }
 
     public void started(SetupTry setupTry) {
@@ -129,10 +128,8 @@
         MediaHost host = setupTry.host;
         boolean wasPlaying = setupTry.playback.playing;
         setupTry.verdict = verdict;
-        if (host.carried.remove(setupTry)) {
-            setupTry.playback.title.carried.merge(setupTry.playback.plan, -1, Integer::sum);
-        }
-        if (host.carried.isEmpty()) {
+        host.drop(setupTry);
+        if (!host.carries()) {
             used.remove(host);
         }
         host.tally(now, settings.joinShare);
@@ -165,7 +162,7 @@
         host.draw = chance.nextDouble();
         host.asked.add(now - settings.noteDelay - life(SMOOTHED), 1 / Math.max(share, 0.05));
         // An uplink is short for all behind it: a few weak links in a rack say nothing of it.
-        List<MediaHost> used = host.rack.hosts.stream().filter(h -> !h.carried.isEmpty()).toList();
+        List<MediaHost> used = host.rack.hosts.stream().filter(MediaHost::carries).toList();
         long shortOnes = used.stream().filter(h -> shortLoad(h) > 0).count();
         if (shortOnes > 1 && shortOnes * 3 >= used.size() * 2 && linkLoad(host) < 1) {
             double given = rackAsked(host.rack) / settings.uplink * share;
@@ -176,7 +173,8 @@
 
     public void rungTold(SetupTry setupTry, int rung) {
         int known = Math.max(0, Math.min(rung, setupTry.playback.plan.rates.length - 1));
-        setupTry.playback.rung = setupTry.playback.rungTold = known;
+        setupTry.host.setRung(setupTry.playback, known);
+        setupTry.playback.rungTold = known;
         setupTry.host.quietWhile = -1;
         setupTry.host.tally(now, settings.joinShare);
     }
@@ -213,6 +211,8 @@
     private static final long BEAT = 50_000_000;
     /** How often playing ones are, besides at every word of them: a part of what a step takes to show. */
     private static final long SLOW_BEAT = 500_000_000;
+    /** Playbacks looked at in a beat for what they wish: where thousands play, looks must not take the loop's time. */
+    private static final int MOST_LOOKS = 40_000;
 
     /** When something may be due without a word from outside; a gateway that holds nothing is left alone. */
     private long nextLook() {
@@ -228,11 +228,6 @@
 
     // Rule 4: a media host that may be cold takes a few set-ups at a time, gateways taking turns.
 
-    private boolean cold(MediaHost host) {
-        return host.failedAt > host.startedAt || now < host.coldUntil
-            || host.startedAt > 0 && now < host.startedAt + settings.coldTime;
-    }
-
     /** Part of the told limit that is used: a set-up may weigh more than the usual one. */
     private static final double COLD_PART = 0.6;
     /** Part of a slot that is used: under a half, for clocks that differ and set-ups on their way. */
@@ -251,7 +246,7 @@
     private boolean paceAllows(MediaHost host) {
         double window = settings.fallMultiple * host.places * settings.coldShare * COLD_PART
             * settings.fallTime / Math.max(1, settings.coldTime);
-        if (!cold(host)) {
+        if (!host.mayBeCold(now, settings.coldTime)) {
             // A gateway that did not begin with the day has an old list: any host may have just started.
             return beganWithDay || now >= startedAt + settings.coldTime || host.sent.size() == 0
                 || now - host.sent.time(0) >= settings.fallTime * settings.gateways / window;
@@ -332,19 +327,14 @@
     /** After so long without a failure one playback at a time tries it again. */
     private static final long TRIAL_AFTER = 3_000_000_000L;
 
-    private double failureShare(MediaHost host) {
-        int n = host.failures.since(now - FAILURE_LIFE);
-        return IntStream.range(0, n).mapToDouble(host.failures::value).sum() / (n + 1);
-    }
-
     private boolean ill(MediaHost host, double median) {
-        return failureShare(host) > median + ILL_OVER && (now - host.failures.time(0) < TRIAL_AFTER
-            || host.carried.stream().anyMatch(t -> !t.playback.playing));
+        return host.failureShare(now - FAILURE_LIFE) > median + ILL_OVER && (now - host.failures.time(0) < TRIAL_AFTER
+            || host.hasTryOut());
     }
 
     private double medianFailure() {
         double[] shares = hosts.values().stream().filter(h -> h.state == MediaHost.State.ACTIVE)
-            .mapToDouble(this::failureShare).sorted().toArray();
+            .mapToDouble(h -> h.failureShare(now - FAILURE_LIFE)).sorted().toArray();
         return shares.length == 0 ? 0 : shares[shares.length / 2];
     }
 
@@ -565,18 +555,13 @@
         if (title.listed != lists) {
             title.listed = lists;
             title.holders = hosts.values().stream().filter(h -> h.state == MediaHost.State.ACTIVE
-                && holds(h, title))
+                && title.isHeldIn(h.cell, settings.cells))
                 .sorted(Comparator.comparing((MediaHost h) -> !h.zone.equals(settings.zone))
-                .thenComparingLong(h -> hash(title.key, h.id))).toList();
+                .thenComparingLong(h -> title.hash(h.id))).toList();
         }
         return title.holders;
     }
 
-    private static long hash(String key, long id) {
-        long h = (key.hashCode() + id * 0x9E3779B97F4A7C15L) * 0xBF58476D1CE4E5B9L;
-        return (h ^ h >>> 31) * 0x94D049BB133111EBL;
-    }
-
     private void place(Playback pb) {
         List<MediaHost> all = holders(pb);
         double median = medianFailure();
@@ -585,7 +570,7 @@
         if (well.isEmpty()) {
             // Every holder is ill or tried: the least bad is better than a rejection.
             well = all.stream().filter(h -> mayTry(pb, h) && shortLoad(h) == 0)
-                .sorted(Comparator.comparingDouble(this::failureShare)).limit(1).toList();
+                .sorted(Comparator.comparingDouble(h -> h.failureShare(now - FAILURE_LIFE))).limit(1).toList();
         }
         int top = fairRung(pb);
         departs(top < pb.highest(), Departure.FAIR_RUNG);
@@ -625,7 +610,7 @@
         double byPlaces = settings.fullFrom > 0 ? 0 : held / (T_HIGH * first.places);
         int several = (int) Math.max(1, Math.min(near, Math.max(hosts, byPlaces)));
         departs(several > 1, Departure.ONE_HOME_OF_SEVERAL);
-        return well.get(Math.floorMod(hash(pb.title.key, settings.me), several));
+        return well.get(Math.floorMod(pb.title.hash(settings.me), several));
     }
 
     private MediaHost choose(Playback pb, List<MediaHost> well, int top) {
@@ -691,7 +676,6 @@
         pb.tries.add(new SetupTry(pb, host, pb.tries.size(), now));
         carry(pb.lastTry());
         host.sent.add(now, 1);
-        host.tally(now, settings.joinShare);
         gateway.setUp(pb, host, Math.max(1, last ? left : (long) (left * TRY_PART)));
     }
 
@@ -699,22 +683,19 @@
     private void joined(Playback pb, int more) {
         pb.title.playing.merge(pb.plan, more, Integer::sum);
         if (pb.plan.live) {
-            used.stream().filter(h -> holds(h, pb.title)).forEach(h -> h.quietWhile = -1);
+            used.stream().filter(h -> pb.title.isHeldIn(h.cell, settings.cells)).forEach(h -> h.quietWhile = -1);
         }
     }
 
-    private boolean holds(MediaHost host, Title title) {
-        return Math.floorMod(host.cell - title.first, settings.cells) < title.copies;
-    }
-
     private void carry(SetupTry setupTry) {
-        setupTry.host.carried.add(setupTry);
+        setupTry.host.carry(setupTry);
+        setupTry.host.tally(now, settings.joinShare);
         used.add(setupTry.host);
-        setupTry.playback.title.carried.merge(setupTry.playback.plan, 1, Integer::sum);
     }
 
     private void begin(Playback pb) {
-        pb.answered = pb.playing = true;
+        pb.answered = true;
+        pb.lastTry().host.begin(pb);
         pb.playingSince = pb.rungSince = now;
         pb.turn = begun++;
         playing.add(pb);
@@ -799,12 +780,12 @@
 
     private void step(List<Playback> group, int by) {
         departs(true, by < 0 ? Departure.EASING_OFF : Departure.STEPPING_UP);
+        MediaHost host = group.get(0).lastTry().host;
         for (Playback pb : group) {
-            pb.rung += by;
+            host.setRung(pb, pb.rung + by);
             pb.rungSince = now;
             untold.put(pb.turn, pb);
         }
-        MediaHost host = group.get(0).lastTry().host;
         host.quietWhile = -1;
         host.tally(now, settings.joinShare);
     }
@@ -822,7 +803,12 @@
 
     /** Rule 5's guard: whatever a rule wished, no rung leaves that is under the floor or over the highest. */
     private void tellRung(Playback pb) {
-        pb.rung = pb.rungTold = Math.max(pb.plan.floor, Math.min(pb.rung, pb.highest()));
+        pb.rungTold = Math.max(pb.plan.floor, Math.min(pb.rung, pb.highest()));
+        if (pb.tries.isEmpty()) {
+            pb.rung = pb.rungTold;
+        } else {
+            pb.lastTry().host.setRung(pb, pb.rungTold);
+        }
         gateway.setRung(pb, pb.rung);
     }
 
@@ -841,37 +827,40 @@
         return mayWantUp(pb) && shortLoad(pb.lastTry().host) == 0 && pb.rung < fairRung(pb);
     }
 
+    /** Those that go up together: of one live stream, those whose fair rung is as high. */
+    private record Step(Title title, Plan plan, int rung, int fair) { }
+
+    private List<Playback> stepping(Playback pb, Map<Step, List<Playback>> known) {
+        return !pb.plan.live ? List.of(pb) : known.computeIfAbsent(new Step(pb.title, pb.plan, pb.rung, fairRung(pb)),
+            step -> group(pb).stream().filter(o -> o.highest() >= step.fair).toList());
+    }
+
     private List<Playback> underused() {
-        List<MediaHost> low = used.stream().filter(h -> h.low > 0 && shortLoad(h) == 0).toList();
-        if (low.stream().anyMatch(h -> h.carried.stream().anyMatch(
-            t -> t.playback.playing && mayWantUp(t.playback)))) {
+        List<MediaHost> low = used.stream().filter(h -> h.mayWantUp() && shortLoad(h) == 0).toList();
+        if (low.stream().anyMatch(h -> !looks.take(h.load(), now) || h.playing().stream().anyMatch(this::mayWantUp))) {
             price(); // Looked at whenever one may want up, whatever room its host has.
         }
         Playback first = null;
         List<Playback> chosen = null;
         for (MediaHost host : low) {
             boolean known = host.quietWhile == wishes && now < host.quietUntil;
-            if (!fits(host, known ? host.leastWish : leastStep)) {
+            if (!fits(host, known ? host.leastWish : leastStep) || !looks.take(host.load(), now)) {
                 continue; // Spares a look at what it carries: none wants up, or our part has no room.
             }
             long next = Long.MAX_VALUE;
             double least = Double.MAX_VALUE;
-            for (int i = 0; i < host.carried.size(); i++) {
-                Playback pb = host.carried.get(i).playback;
-                boolean under = pb.playing && pb.rung < pb.highest();
-                if (under && now - pb.rungSince < life(STEP_UP_AFTER)) {
+            Map<Step, List<Playback>> groups = new HashMap<>();
+            for (Playback pb : host.playing()) {
+                if (pb.rung < pb.highest() && now - pb.rungSince < life(STEP_UP_AFTER)) {
                     next = Math.min(next, pb.rungSince + life(STEP_UP_AFTER));
-                }
-                if (!under || !mayWantUp(pb) || stepValue(pb, pb.rung + 1) < price
-                    || pb.rung >= fairRung(pb)) {
-                    continue;
-                }
-                List<Playback> group = group(pb).stream().filter(o -> o.highest() >= fairRung(pb)).toList();
-                double kb = wishKb(group) + stepKb(pb, group.size(), pb.rung + 1);
-                least = Math.min(least, kb);
-                if ((first == null || pb.turn < first.turn) && fits(host, kb)) {
-                    first = pb;
-                    chosen = group;
+                } else if (wantsUp(pb)) {
+                    List<Playback> group = stepping(pb, groups);
+                    double kb = wishKb(group) + stepKb(pb, group.size(), pb.rung + 1);
+                    least = Math.min(least, kb);
+                    if ((first == null || pb.turn < first.turn) && fits(host, kb)) {
+                        first = pb;
+                        chosen = group;
+                    }
                 }
             }
             host.quietWhile = wishes;
@@ -883,9 +872,9 @@
 
     /** Where reports come on probes only, lowest rungs would stay on empty links: one in a report's life. */
     private MediaHost unheard() {
-        return !settings.mayProbe || !settings.reportsOnProbe ? null : first(playing.stream()
-            .filter(pb -> pb.rung == pb.plan.floor && wantsUp(pb)).map(pb -> pb.lastTry().host).toList(),
-            h -> !h.probeOut && now - h.probedAt > life(REPORT_LIFE));
+        return !settings.mayProbe || !settings.reportsOnProbe ? null : first(used, h -> !h.probeOut
+            && now - h.probedAt > life(REPORT_LIFE) && h.mayWantUp() && looks.take(h.load(), now)
+            && h.playing().stream().anyMatch(pb -> pb.rung == pb.plan.floor && wantsUp(pb)));
     }
 
     private void ask(MediaHost host) {
--- a/src/main/java/cypressvalve/front/signal/SignalFront.java
+++ b/src/main/java/cypressvalve/front/signal/SignalFront.java
@@ -8,6 +8,7 @@
 import cypressvalve.net.Duplex;
 import cypressvalve.session.Answer;
 import cypressvalve.session.Ask;
+import cypressvalve.session.HandOverSource;
 import cypressvalve.session.Session;
 import cypressvalve.session.SessionCore;
 import java.nio.ByteBuffer;
@@ -442,6 +443,7 @@
         private final ArrayDeque<PendingRequest> unsentAnswers = new ArrayDeque<>();
         /** Ends that are remembered of what stood or was to stand here, the oldest first. */
         private final Set<PendingRelease> releases = new LinkedHashSet<>();
+        private final HandOverSource handOvers = new HandOverSource();
         private final long since = core.clock().now();
         /** When the first byte of the message came that is not whole yet. */
         private long partialSince = since;
@@ -720,7 +722,7 @@
             request.answered = true;
             request.ask = null;
             standing.add(request);
-            request.session = core.handOver(wish.ask(), hosts.applyAsLong(wish.at()), request);
+            request.session = core.handOver(wish.ask(), hosts.applyAsLong(wish.at()), handOvers, request);
             note(EventKind.SESSION_HANDED_OVER, signal.session(), request.session == null ? "refused" : request.session.state());
             boolean ended = earlyReleases.remove(signal.session());
             if (request.session == null) {
--- a/src/main/java/cypressvalve/model/MediaHost.java
+++ b/src/main/java/cypressvalve/model/MediaHost.java
@@ -1,9 +1,13 @@
 package cypressvalve.model;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** A media host as the list tells of it, and what this gateway saw of it. */
 public final class MediaHost {
@@ -42,10 +46,6 @@
     public long fullAt = Long.MIN_VALUE / 2;
     public long probedAt = Long.MIN_VALUE / 2;
     public boolean probeOut;
-    /** Tries out or playing here. */
-    public final List<SetupTry> carried = new ArrayList<>();
-    /** How many of these are under their highest rung. */
-    public int low;
     /** No more is wished here before that time, as long as the gateway's count of wishes stands. */
     public long quietWhile = -1;
     public long quietUntil;
@@ -56,20 +56,163 @@
         this.id = id;
     }
 
+    /** Tries that are out or play here. */
+    private final Set<SetupTry> carried = new LinkedHashSet<>();
+    /** How many of these play. */
+    private int playing;
+    /** How many of these are under their highest rung. */
+    private int low;
+    /** Live streams and those carried on each; only looked up in, never walked. */
+    private final Map<Stream, Sharers> streams = new HashMap<>();
+    /** What is carried, by plan and rung, in the order in which plans came: sums of it don't hang on what came between. */
+    private final Map<Plan, RungCounts> counts = new LinkedHashMap<>();
+
+    private record Stream(Title title, Plan plan, int rung) {
+        @Override
+        public int hashCode() {
+            return (System.identityHashCode(title) * 31 + System.identityHashCode(plan)) * 31 + rung;
+        }
+    }
+
+    /** Those on one live stream. */
+    private static final class Sharers {
+        private final Set<Playback> members = new LinkedHashSet<>();
+        private int playing;
+    }
+
+    /** Of one plan, by rung: streams, and playbacks that join one. */
+    private static final class RungCounts {
+        private final int[] streams;
+        private final int[] joined;
+
+        private RungCounts(int rungs) {
+            streams = new int[rungs];
+            joined = new int[rungs];
+        }
+    }
+
+    /** Whether it has started, or may have, less than that time ago. */
+    public boolean mayBeCold(long now, long coldTime) {
+        return failedAt > startedAt || now < coldUntil || startedAt > 0 && now < startedAt + coldTime;
+    }
+
+    /** The part of set-ups since then that failed, as if one more had not: one alone says little. */
+    public double failureShare(long since) {
+        int results = failures.since(since);
+        double failed = 0;
+        for (int i = 0; i < results; i++) {
+            failed += failures.value(i);
+        }
+        return failed / (results + 1);
+    }
+
+    /** Whether anything is carried here. */
+    public boolean carries() {
+        return !carried.isEmpty();
+    }
+
+    /** How many are carried here. */
+    public int load() {
+        return carried.size();
+    }
+
+    /** Whether a try is out here, which does not play yet. */
+    public boolean hasTryOut() {
+        return carried.size() > playing;
+    }
+
+    /** Whether one is carried here that is under its highest rung. */
+    public boolean mayWantUp() {
+        return low > 0;
+    }
+
+    /** A set-up leaves for this host, or a session is known to stand here. */
+    public void carry(SetupTry setupTry) {
+        if (carried.add(setupTry)) {
+            setupTry.playback.title.taken(setupTry.playback.plan, 1);
+            count(setupTry.playback, 1);
+        }
+    }
+
+    /** It is over. */
+    public void drop(SetupTry setupTry) {
+        if (carried.remove(setupTry)) {
+            setupTry.playback.title.taken(setupTry.playback.plan, -1);
+            count(setupTry.playback, -1);
+            countPlaying(setupTry.playback, setupTry.playback.playing ? -1 : 0);
+        }
+    }
+
+    /** A playback that is carried here begins to play. */
+    public void begin(Playback pb) {
+        pb.playing = true;
+        countPlaying(pb, 1);
+    }
+
+    /** The playback has that rung from now on. */
+    public void setRung(Playback pb, int rung) {
+        boolean counted = rung != pb.rung && carried.contains(pb.lastTry());
+        if (counted) {
+            count(pb, -1);
+            countPlaying(pb, pb.playing ? -1 : 0);
+        }
+        pb.rung = rung;
+        if (counted) {
+            count(pb, 1);
+            countPlaying(pb, pb.playing ? 1 : 0);
+        }
+    }
+
+    private void count(Playback pb, int more) {
+        RungCounts ofPlan = counts.computeIfAbsent(pb.plan, plan -> new RungCounts(plan.rates.length));
+        int[] streamsOrJoined = pb.plan.live && share(pb, more) > 1 ? ofPlan.joined : ofPlan.streams;
+        streamsOrJoined[pb.rung] += more;
+        low += pb.rung < pb.highest() ? more : 0;
+    }
+
+    /** Has the playback join its stream, or leave it; returns how many are on it with the playback. */
+    private int share(Playback pb, int more) {
+        Stream stream = new Stream(pb.title, pb.plan, pb.rung);
+        Sharers sharers = streams.computeIfAbsent(stream, k -> new Sharers());
+        if (more > 0) {
+            sharers.members.add(pb);
+            return sharers.members.size();
+        }
+        int before = sharers.members.size();
+        sharers.members.remove(pb);
+        if (sharers.members.isEmpty()) {
+            streams.remove(stream);
+        }
+        return before;
+    }
+
+    private void countPlaying(Playback pb, int more) {
+        playing += more;
+        Sharers sharers = streams.get(new Stream(pb.title, pb.plan, pb.rung));
+        if (sharers != null) {
+            sharers.playing += more;
+        }
+    }
+
     /** Whether the playback would share a stream that is carried here at that rung. */
     public boolean joins(Playback pb, int rung) {
-        List<Playback> there = on(pb, rung);
-        return !there.isEmpty() && (there.size() > 1 || there.get(0) != pb);
+        Collection<Playback> there = on(pb, rung);
+        return !there.isEmpty() && (there.size() > 1 || !there.contains(pb));
+    }
+
+    /** Those carried here on the live stream of that playback's title and plan at that rung. */
+    public Collection<Playback> on(Playback pb, int rung) {
+        Sharers sharers = sharers(pb, rung);
+        return sharers == null ? List.of() : sharers.members;
     }
 
-    /** Those carried here on the live stream of that playback's title and plan at that rung, as last tallied. */
-    public List<Playback> on(Playback pb, int rung) {
-        return pb.plan.live ? streams.getOrDefault(new Stream(pb.title, pb.plan, rung), List.of()) : List.of();
+    private Sharers sharers(Playback pb, int rung) {
+        return pb.plan.live ? streams.get(new Stream(pb.title, pb.plan, rung)) : null;
     }
 
     /** The playbacks that play here. */
     public List<Playback> playing() {
-        List<Playback> all = new ArrayList<>(carried.size());
+        List<Playback> all = new ArrayList<>(playing);
         for (SetupTry setupTry : carried) {
             if (setupTry.playback.playing) {
                 all.add(setupTry.playback);
@@ -80,37 +223,18 @@
 
     /** How many play here on the stream of one that plays here, itself counted. */
     public int sharing(Playback pb) {
-        int sharing = pb.plan.live ? 0 : 1;
-        for (Playback other : on(pb, pb.rung)) {
-            sharing += other.playing ? 1 : 0;
-        }
-        return sharing;
+        Sharers sharers = sharers(pb, pb.rung);
+        return pb.plan.live ? sharers == null ? 0 : sharers.playing : 1;
     }
 
-    private record Stream(Title title, Plan plan, int rung) {
-        @Override
-        public int hashCode() {
-            return (System.identityHashCode(title) * 31 + System.identityHashCode(plan)) * 31 + rung;
-        }
-    }
-
-    /** Live streams and those carried on each, as of the last tally; only looked up in, never walked. */
-    private final Map<Stream, List<Playback>> streams = new HashMap<>();
-
-    /** Works out anew what the carried playbacks ask for; a joined one adds its share. */
+    /** Notes what the carried playbacks ask for now; a joined one adds its share. */
     public void tally(long now, double joinShare) {
         double sum = 0;
-        low = 0;
-        streams.clear();
-        for (SetupTry setupTry : carried) {
-            Playback pb = setupTry.playback;
-            List<Playback> stream = !pb.plan.live ? null : streams.computeIfAbsent(
-                new Stream(pb.title, pb.plan, pb.rung), k -> new ArrayList<>(2));
-            sum += pb.plan.rates[pb.rung] * (stream == null || stream.isEmpty() ? 1 : joinShare);
-            if (stream != null) {
-                stream.add(pb);
+        for (Map.Entry<Plan, RungCounts> ofPlan : counts.entrySet()) {
+            double[] rates = ofPlan.getKey().rates;
+            for (int rung = 0; rung < rates.length; rung++) {
+                sum += rates[rung] * (ofPlan.getValue().streams[rung] + joinShare * ofPlan.getValue().joined[rung]);
             }
-            low += pb.rung < pb.highest() ? 1 : 0;
         }
         rack.own.set(now, rack.own.newest() + sum - own.newest());
         own.set(now, sum);
--- a/src/main/java/cypressvalve/model/Title.java
+++ b/src/main/java/cypressvalve/model/Title.java
@@ -30,6 +30,22 @@
         playing = other.playing;
     }
 
+    /** Whether that cell, of so many, holds it. */
+    public boolean isHeldIn(int cell, int cells) {
+        return Math.floorMod(cell - first, cells) < copies;
+    }
+
+    /** A number that title and id together always lead to: it orders ids differently for each title. */
+    public long hash(long id) {
+        long h = (key.hashCode() + id * 0x9E3779B97F4A7C15L) * 0xBF58476D1CE4E5B9L;
+        return (h ^ h >>> 31) * 0x94D049BB133111EBL;
+    }
+
+    /** So many more of a plan are out or play; below 0 so many fewer. */
+    public void taken(Plan plan, int more) {
+        carried.merge(plan, more, Integer::sum);
+    }
+
     public void heldBy(int first, int copies) {
         if (first != this.first || copies != this.copies) {
             this.first = first;
--- a/src/main/java/cypressvalve/run/PlatformNode.java
+++ b/src/main/java/cypressvalve/run/PlatformNode.java
@@ -58,8 +58,8 @@
     /** Requests that wait for their answer, and sessions: far over what the platform sends, under what memory holds. */
     private static final int MOST_OPEN = 400;
     private static final int MOST_SESSIONS = 10_000;
-    /** What a session may hold of the heap, so that all of them fit a part of it. */
-    private static final long HEAP_BYTES_A_SESSION = 4_096;
+    /** The heap for each session that may count in the decisions; half as many more may be held. */
+    private static final long HEAP_BYTES_A_SESSION = 8_192;
     /** A loop on a part of a core is stopped now and then for a few whole periods of its quota. */
     private static final long LATE = 400_000_000L;
     /** What is left in write queues at the very end gets so long. */
--- a/src/main/java/cypressvalve/session/Session.java
+++ b/src/main/java/cypressvalve/session/Session.java
@@ -22,6 +22,8 @@
     byte[] description;
     /** What its media host said before its answer was read; null if nothing. */
     EarlyNotes earlyNotes;
+    /** Whose word it is that it stands; null where it was set up here, or its media host has confirmed it. */
+    HandOvers.Claim claim;
     State state = State.OPENING;
     End end;
     HostAddress host;
--- a/src/main/java/cypressvalve/session/SessionCore.java
+++ b/src/main/java/cypressvalve/session/SessionCore.java
@@ -40,6 +40,10 @@
     private static final Logger LOG = LoggerFactory.getLogger(SessionCore.class);
     /** How often silent viewers are looked for, and the loop's delay is measured. */
     private static final long SWEEP = 500_000_000L;
+    /** Sessions that were handed over and are not confirmed, beside all others: this part of those. */
+    private static final int UNCONFIRMED_PART = 2;
+    /** A session that joins a stream is taken to ask for this part of its rate at least, whatever settings say. */
+    private static final double LEAST_JOINED_SHARE = 0.05;
     /** Hosts that have gone and are still counted, a release of a large fleet. */
     private static final int MOST_GONE = 100;
 
@@ -53,6 +57,7 @@
     private final ListFollower follower;
     private final SessionIds ids;
     private final int mostSessions;
+    private final HandOvers handOvers;
     private final Control control;
     private final Map<String, Session> sessions = new LinkedHashMap<>();
     private final Map<String, Session> byKey = new HashMap<>();
@@ -100,6 +105,7 @@
         this.client = client;
         this.follower = follower;
         this.mostSessions = mostSessions;
+        handOvers = new HandOvers(mostSessions / UNCONFIRMED_PART, session -> ended(session, Session.End.HOST_LOST, Verdict.WITHDRAWN));
         this.events = events;
         this.onFailure = onFailure;
         ids = new SessionIds(settings.me);
@@ -178,7 +184,7 @@
             }
             return joined;
         }
-        if (closed || draining || sessions.size() >= mostSessions) {
+        if (closed || draining || isFull()) {
             events.answered("rejected", ask.plan(), 0);
             answer.rejected(0);
             return null;
@@ -211,6 +217,10 @@
         return session;
     }
 
+    private boolean isFull() {
+        return sessions.size() - handOvers.unconfirmed() >= mostSessions;
+    }
+
     private int tenant(Ask ask) {
         return settings.tenants.getOrDefault(ask.tenant(), -1);
     }
@@ -282,13 +292,18 @@
         session.state = Session.State.ENDED;
         ends.keep(session.host, session.id(), end == Session.End.LEFT ? Verdict.WITHDRAWN : verdict, clock.now());
         drop(session);
+        boolean counted = endClaim(session);
         unfollow(last.host);
         events.ended(end);
         if (session.watching != null) {
             after.add(() -> session.watching.ended(session));
         }
         LOG.info("session over {} {} {}", kv("playback", session.id()), kv("host", last.host.id), kv("end", end));
-        input(() -> control.cameBack(last, verdict, true, Double.NaN, Double.NaN));
+        input(() -> {
+            if (counted) {
+                control.cameBack(last, verdict, true, Double.NaN, Double.NaN);
+            }
+        });
     }
 
     private void keep(Session session) {
@@ -372,7 +387,7 @@
             });
             // Replaced hosts come under new ids for ever: those that are gone are told of, but not without end.
             if (hosts(MediaHost.State.GONE) > MOST_GONE) {
-                hosts.values().removeIf(h -> h.state == MediaHost.State.GONE && h.carried.isEmpty());
+                hosts.values().removeIf(h -> h.state == MediaHost.State.GONE && !h.carries());
                 addresses.keySet().retainAll(hosts.keySet());
             }
         });
@@ -404,52 +419,116 @@
         int dot = carried.name().lastIndexOf('.');
         String id = dot < 0 ? "" : carried.name().substring(0, dot);
         Ask ask = Ask.from(carried.about(), carried.title(), carried.plan());
-        if (ask == null || !ids.mine(id) || sessions.containsKey(id) || sessions.size() >= mostSessions
+        if (ask == null || !ids.mine(id) || sessions.containsKey(id) || isFull()
             || house.title(ask) == null || !settings.plansByName.containsKey(ask.plan())
             || ask.key() != null && byKey.containsKey(ask.key())) {
             client.release(address, carried.name());
             return;
         }
         Session session = standing(id, ask, host, carried.name());
+        keepStanding(session, host, true);
         input(() -> control.rungTold(session.playback.lastTry(), carried.rung()));
     }
 
     private Session standing(String id, Ask ask, MediaHost host, String name) {
-        Playback pb = playback(id, ask);
-        Session session = new Session(ask, pb);
+        Session session = new Session(ask, playback(id, ask));
         session.state = Session.State.PLAYING;
         session.host = addresses.get(host.id);
         session.hostName = name;
         session.begunAt = System.nanoTime();
         session.lastSeen = clock.now();
+        return session;
+    }
+
+    private void keepStanding(Session session, MediaHost host, boolean counts) {
         keep(session);
-        LOG.info("taken up {} {}", kv("playback", id), kv("host", host.id));
+        LOG.info("taken up {} {}", kv("playback", session.id()), kv("host", host.id));
+        if (counts) {
+            count(session, host);
+        } else {
+            session.playback.tries.add(new SetupTry(session.playback, host, 0, clock.now()));
+            holdSeat(session);
+        }
+        follow(host);
+    }
+
+    private void count(Session session, MediaHost host) {
         input(() -> {
-            pb.arrivedAt = pb.abandonAt = now();
-            control.handedOver(pb, host);
+            session.playback.tries.clear();
+            session.playback.playing = false;
+            session.playback.arrivedAt = session.playback.abandonAt = now();
+            control.handedOver(session.playback, host);
         });
-        follow(host);
-        return session;
+    }
+
+    /** A session that counts in no other decision takes its seat all the same: it may stand. */
+    private static void holdSeat(Session session) {
+        session.playback.title.taken(session.playback.plan, 1);
+    }
+
+    private static void freeSeat(Session session) {
+        session.playback.title.taken(session.playback.plan, -1);
     }
 
     /**
      * A session that plays at that host already becomes this gateway's.
      *
+     * @param source where it is handed over from
      * @param watching told of its end alone
-     * @return null if the host is not known or has gone, or the gateway holds as many as it may
+     * @return null if the host is not known or has gone, or as many are held as may be
      */
-    public Session handOver(Ask ask, long hostId, Answer watching) {
+    public Session handOver(Ask ask, long hostId, HandOverSource source, Answer watching) {
         MediaHost host = hosts.get(hostId);
-        if (closed || host == null || host.state == MediaHost.State.GONE || sessions.size() >= mostSessions) {
+        if (closed || host == null || host.state == MediaHost.State.GONE || isFull()) {
             return null;
         }
         String id = ask.offer().id();
         Session session = standing(id, ask, host, id + ".0");
+        session.claim = handOvers.claim(session, host, source, leastKb(session.playback), clock.now());
+        if (session.claim == null) {
+            return null;
+        }
+        keepStanding(session, host, session.claim.counted());
         session.watching = watching;
         endIfSaidBefore(session, id);
         return session;
     }
 
+    private double leastKb(Playback playback) {
+        double share = playback.plan.live ? Math.max(LEAST_JOINED_SHARE, settings.joinShare) : 1;
+        return playback.plan.rates[playback.plan.floor] * share;
+    }
+
+    /** Its media host has said something of it: it stands there, whoever handed it over. */
+    private void confirm(Session session) {
+        if (session.claim != null && !endClaim(session)) {
+            count(session, session.playback.lastTry().host);
+        }
+    }
+
+    /** Whether the session counted in the decisions. */
+    private boolean endClaim(Session session) {
+        HandOvers.Claim claim = session.claim;
+        if (claim == null) {
+            return true;
+        }
+        boolean counted = claim.counted();
+        session.claim = null;
+        handOvers.over(claim); // It counts no more by that.
+        if (!counted) {
+            freeSeat(session);
+        }
+        return counted;
+    }
+
+    /** What a media host reports of its link speaks against sessions that are said to stand there. */
+    private void doubt(MediaHost host, LoadReport report) {
+        for (Session session : handOvers.contradicted(host, report.link(), clock.now())) {
+            input(() -> control.cameBack(session.playback.lastTry(), Verdict.WITHDRAWN, true, Double.NaN, Double.NaN));
+            holdSeat(session);
+        }
+    }
+
     // What media hosts tell.
 
     private Session at(long host, String name) {
@@ -484,6 +563,7 @@
         Session session = at(host, name);
         EarlyNotes early = early(host, name);
         if (session != null) {
+            confirm(session);
             input(() -> control.rungTold(session.playback.lastTry(), rung));
         } else if (early != null) {
             early.rung = rung;
@@ -495,6 +575,7 @@
         Session session = at(host, name);
         EarlyNotes early = early(host, name);
         if (session != null) {
+            confirm(session);
             input(() -> control.delivered(session.playback.lastTry(), share));
         } else if (early != null) {
             early.delivered = share;
@@ -506,7 +587,9 @@
         Session session = at(host, name);
         EarlyNotes early = early(host, name);
         if (session != null) {
+            confirm(session);
             input(() -> control.loadTold(session.playback.lastTry(), report.link(), report.uplink()));
+            doubt(session.playback.lastTry().host, report);
         } else if (early != null) {
             early.load = report;
         }
@@ -742,8 +825,10 @@
 
     @Override
     public void probe(MediaHost host) {
-        client.probe(addresses.get(host.id), (verdict, report) ->
-            input(() -> control.probed(host, verdict, report.link(), report.uplink())));
+        client.probe(addresses.get(host.id), (verdict, report) -> {
+            input(() -> control.probed(host, verdict, report.link(), report.uplink()));
+            doubt(host, report);
+        });
     }
 
     @Override
--- a/src/test/java/cypressvalve/soak/HostileClientsTest.java
+++ b/src/test/java/cypressvalve/soak/HostileClientsTest.java
@@ -113,6 +113,18 @@
         }
     }
 
+    /** Guards against descriptions that are kept for as long as what is said to play stands. */
+    @Test
+    void thousandsOfLargeHandOversNeitherEndTheProcessNorCostOthersTheirAnswers() throws Exception {
+        startDeployed(4, PATIENCE_MILLIS, MEMORY_MEGABYTES, DESCRIPTORS);
+        try (HostileClients clients = hostile()) {
+            for (int i = 0; i < BURSTING_CLIENTS; i++) {
+                clients.burst(REQUESTS_AT_ONCE, hosts.size(), hosts.get(0).name(), record);
+            }
+            assertUsualClientsAreServed();
+        }
+    }
+
     /** Guards against set-ups that are sent on though their client has left, as its end is behind much that is unread. */
     @Test
     void whatAClientSentBeforeItLeftIsNotSentOnThoughMuchOfItIsUnread() throws Exception {
