A call to the coordinator that is late is kept beside the next one

Cause: each call was closed after 3 s without an answer, and the next had the same bound: a coordinator that takes 3.2 s is never heard. Evidence: its record has each call closed just before its answer. The waits for the connection (0.7 s) and for what follows the head (1.3 s) had the same fault. Change: the oldest late call waits on beside the next; the first that brings something is in force, the other is closed; bounds double for each late call. Why it works: no bound gives up the call that has waited longest, and there are never more than two. Tests: answers 3.2 and 5 s late and a late first event failed before (20 s). The one with 2 s waited for the gateway to close a stream that had fallen silent, which is kept now; it asks for the first answer within 2.5 s where it had 6 s.

--- a/src/main/java/cypressvalve/fleet/stream/StreamFollower.java
+++ b/src/main/java/cypressvalve/fleet/stream/StreamFollower.java
@@ -31,6 +31,10 @@
     private static final long CONNECT_MS = 700;
     /** A call that is up and not answered may be at a coordinator that is slow or crowded: to call again only adds to that. */
     private static final long NO_ANSWER_MS = 3_000;
+    /** Calls in a row that were late make the next wait longer, up to so many times as long. */
+    private static final int MOST_PATIENCE = 4;
+    /** A call that is late is kept so long beside the next: its answer may still come, where every one takes that long. */
+    private static final long OVERDUE_MS = 30_000;
     /** Gateways that a break meets together come apart from the first try on, yet well inside the 2 s that they have. */
     private static final long FIRST_MS = 500;
     private static final long AGAIN_MS = 150;
@@ -55,7 +59,13 @@
     private final Consumer<String> log;
     private InetSocketAddress address;
     private long last;
+    /** The call in force. */
     private Stream stream;
+    /** The oldest call that is late and not given up; null if there is none. */
+    private Stream overdue;
+    /** A call follows soon, as the one in force is late or over. */
+    private boolean callDue;
+    private int patience = 1;
     private int failed;
     /** After which number what followed could not be taken, and how often. */
     private long stuckAt = -1;
@@ -111,11 +121,10 @@
         if (!to.equals(address)) {
             address = to;
             failed = 0;
-            Stream old = stream;
+            patience = 1;
             thread.executeAfter(() -> {
-                if (!closed && stream == old && old != null) {
-                    old.end();
-                    stream = new Stream();
+                if (!closed && stream != null && !stream.to.equals(address)) {
+                    callAnew();
                 }
             }, 1 + (long) (FIRST_MS * chance.nextDouble()), TimeUnit.MILLISECONDS);
         }
@@ -129,40 +138,120 @@
     @Override
     public void fetch() {
         if (stream != null && !closed) {
+            callAnew();
+        }
+    }
+
+    private void callAnew() {
+        endAll();
+        stream = new Stream();
+    }
+
+    private void endAll() {
+        callDue = false;
+        endOverdue();
+        if (stream != null) {
             stream.end();
-            stream = new Stream();
+        }
+    }
+
+    private void endOverdue() {
+        if (overdue != null) {
+            overdue.end();
+            overdue = null;
         }
     }
 
     /** Stops. */
     public void close() {
         closed = true;
-        if (stream != null) {
-            stream.end();
-        }
+        endAll();
     }
 
     /** Takes what the coordinator has told by now, as that waits unread while the loop does something else. */
     public void readNow() {
-        if (stream != null && stream.duplex != null) {
-            stream.duplex.readNow();
+        if (overdue != null) {
+            overdue.readNow();
+        }
+        if (stream != null) {
+            stream.readNow();
         }
     }
 
-    private void broke() {
-        if (!closed) {
-            double pause = failed == 0 ? FIRST_MS * chance.nextDouble()
-                : Math.min(AGAIN_MOST_MS, AGAIN_MS << Math.min(failed, 4)) * (0.5 + chance.nextDouble() / 2);
-            failed++;
-            Stream old = stream;
-            thread.executeAfter(() -> {
-                if (!closed && stream == old) {
-                    InetSocketAddress now = old.duplex == null ? told.get() : null;
-                    address = now == null ? address : now;
-                    stream = new Stream();
-                }
-            }, 1 + (long) pause, TimeUnit.MILLISECONDS);
+    /** A call has ended without being asked to. */
+    private void broke(Stream which) {
+        which.end();
+        if (which == overdue && which != stream) {
+            overdue = null;
+        } else if (which == stream) {
+            overdue = which == overdue ? null : overdue;
+            callLater();
+        }
+    }
+
+    /**
+     * A call is late. The next is made beside it: where every answer takes as long as this one, no call would be heard that is given up
+     * for the next. Of those that are late the oldest is kept, as it has waited the longest.
+     */
+    private void late(Stream which) {
+        if (which != stream || callDue) {
+            return; // It waits on, beside the one that was made for it.
+        }
+        log.accept("the coordinator's answer is late at " + which.to);
+        if (overdue == null) {
+            overdue = which;
+            thread.executeAfter(() -> giveUp(which), OVERDUE_MS, TimeUnit.MILLISECONDS);
+        } else {
+            which.end();
+        }
+        patience = Math.min(MOST_PATIENCE, 2 * patience);
+        callLater();
+    }
+
+    private void giveUp(Stream which) {
+        if (which == overdue && which != stream) {
+            endOverdue();
+        }
+    }
+
+    /** A call has brought something: it is the one in force. */
+    private void heard(Stream which) {
+        if (which == overdue) {
+            overdue = null;
+            if (stream != which) {
+                stream.end();
+                stream = which;
+            }
+            callDue = false;
+        } else if (which == stream && which.brought) {
+            endOverdue();
+        }
+    }
+
+    private void callLater() {
+        if (closed || callDue) {
+            return;
+        }
+        callDue = true;
+        double pause = failed == 0 ? FIRST_MS * chance.nextDouble()
+            : Math.min(AGAIN_MOST_MS, AGAIN_MS << Math.min(failed, 4)) * (0.5 + chance.nextDouble() / 2);
+        failed++;
+        Stream old = stream;
+        thread.executeAfter(() -> {
+            if (!closed && callDue && stream == old) {
+                callDue = false;
+                call();
+            }
+        }, 1 + (long) pause, TimeUnit.MILLISECONDS);
+    }
+
+    private void call() {
+        InetSocketAddress now = stream.duplex == null ? told.get() : null;
+        address = now == null ? address : now;
+        if (overdue != null && !overdue.to.equals(address)) {
+            endOverdue();
         }
+        stream = new Stream();
     }
 
     /**
@@ -211,6 +300,7 @@
             brought = true;
             events.take(body);
         });
+        private final InetSocketAddress to = address;
         private final IoFuture<StreamConnection> connecting;
         private Duplex duplex;
         private long heardAt = System.nanoTime();
@@ -221,35 +311,38 @@
         private boolean over;
 
         private Stream() {
-            connecting = thread.openStreamConnection(address, this::opened, Duplex.CONNECT_OPTIONS);
+            connecting = thread.openStreamConnection(to, this::opened, Duplex.CONNECT_OPTIONS);
             connecting.addNotifier((future, nothing) -> {
                 if (future.getStatus() == IoFuture.Status.FAILED) {
                     thread.execute(this::broken);
                 }
             }, null);
-            look(CONNECT_MS);
+            look(CONNECT_MS * patience);
         }
 
         private long maxQuietMillis() {
-            return brought ? SILENT_MS : answered ? NOTHING_MS : NO_ANSWER_MS;
+            return brought ? SILENT_MS : patience * (answered ? NOTHING_MS : duplex != null ? NO_ANSWER_MS : CONNECT_MS);
+        }
+
+        private void readNow() {
+            if (!over && duplex != null) {
+                duplex.readNow();
+            }
         }
 
         /** What is unread, or has come up unseen, on a busy loop is no silence: the sockets are polled first. */
         private void look(long in) {
             thread.executeAfter(() -> polls.afterNext(() -> {
-                if (!over && duplex != null) {
-                    duplex.readNow(); // What waits unread on a late loop is no silence.
-                }
+                readNow(); // What waits unread on a late loop is no silence.
                 if (over) {
                     return;
                 }
                 long quiet = (System.nanoTime() - heardAt) / 1_000_000;
                 long most = maxQuietMillis();
-                if (duplex == null || quiet >= most) {
-                    broken();
-                } else {
-                    look(most - quiet + 1);
+                if (quiet >= most) {
+                    late(this);
                 }
+                look(quiet >= most ? most : most - quiet + 1);
             }), in, TimeUnit.MILLISECONDS);
         }
 
@@ -259,10 +352,10 @@
                 return;
             }
             heardAt = openedAt = System.nanoTime();
-            log.accept("the list is read at " + address + " after " + last);
+            log.accept("the list is read at " + to + " after " + last);
             duplex = new Duplex(connection, buffer, MOST_QUEUED, this);
             duplex.start();
-            duplex.write(("GET /v2/stream HTTP/1.1\r\nHost: " + address.getHostString() + ":" + address.getPort()
+            duplex.write(("GET /v2/stream HTTP/1.1\r\nHost: " + to.getHostString() + ":" + to.getPort()
                 + "\r\nAccept: text/event-stream\r\nLast-Event-ID: " + last + "\r\n\r\n").getBytes(StandardCharsets.UTF_8));
         }
 
@@ -274,8 +367,7 @@
 
         private void broken() {
             if (!over) {
-                end();
-                broke();
+                broke(this);
             }
         }
 
@@ -290,7 +382,9 @@
         @Override
         public void bytes(ByteBuffer data) {
             heardAt = System.nanoTime();
-            failed = heardAt - openedAt > WELL_MS * 1_000_000 ? 0 : failed;
+            boolean well = heardAt - openedAt > WELL_MS * 1_000_000;
+            failed = well ? 0 : failed;
+            patience = well && brought ? 1 : patience;
             try {
                 http.take(data);
             } catch (HttpStream.Unreadable e) {
@@ -298,6 +392,9 @@
                 broken();
                 return;
             }
+            if (!over) {
+                heard(this);
+            }
             if (http.over()) {
                 broken();
             } else if (http.body() && !answered) {
--- a/src/test/java/cypressvalve/fleet/stream/StreamFollowerTest.java
+++ b/src/test/java/cypressvalve/fleet/stream/StreamFollowerTest.java
@@ -18,12 +18,15 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Set;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.random.RandomGenerator;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
@@ -133,23 +136,67 @@
         }
     }
 
+    /**
+     * Answers each call so late.
+     *
+     * @param atOnce what it says as soon as it was asked
+     * @return how many calls had come by then
+     */
+    private int callsUntilHeard(long lateMillis, String atOnce, String later) throws Exception {
+        AtomicInteger calls = new AtomicInteger();
+        Thread takes = new Thread(() -> {
+            try {
+                while (true) {
+                    Socket stream = asked(coordinator, 1);
+                    calls.incrementAndGet();
+                    new Thread(() -> answerLate(stream, lateMillis, atOnce, later)).start();
+                }
+            } catch (IOException e) {
+                return; // The test is over.
+            }
+        });
+        takes.start();
+        assertEquals(2, taken.take().version());
+        return calls.get();
+    }
+
+    private static void answerLate(Socket stream, long lateMillis, String atOnce, String later) {
+        try (stream) {
+            say(stream, atOnce);
+            Thread.sleep(lateMillis); // How slow it is.
+            say(stream, later);
+            stream.getInputStream().read();
+        } catch (IOException | InterruptedException e) {
+            return; // It was given up.
+        }
+    }
+
+    /** Guards against a time-out that every call meets: the coordinator was never heard, as each was closed before its answer. */
+    @ParameterizedTest
+    @ValueSource(longs = {2_000, 3_200, 5_000})
+    void aCoordinatorThatAnswersSlowlyIsHeardAtItsFirstAnswer(long lateMillis) throws Exception {
+        long begun = System.nanoTime();
+        int calls = callsUntilHeard(lateMillis, "", OK + event(2, false, entry("a", "DRAINING", "std")));
+        assertTrue(System.nanoTime() - begun < (lateMillis + 500) * 1_000_000L, "the first call was given up");
+        assertTrue(calls <= 2, calls + " calls to a coordinator that is slow");
+    }
+
+    /** The same of what follows the head of its answer. */
     @Test
-    void aCoordinatorThatAnswersSlowlyIsHeardBeforeItCountsAsTold() throws Exception {
+    void aCoordinatorWhoseFirstEventIsAlwaysLateIsHeardAtItsFirst() throws Exception {
         long begun = System.nanoTime();
-        while (taken.isEmpty()) {
-            Socket stream = asked(coordinator, 1);
-            Thread answer = new Thread(() -> {
-                try (stream) {
-                    Thread.sleep(2_000); // How slow it is.
-                    say(stream, OK + event(2, false, entry("a", "DRAINING", "std")));
-                    stream.getInputStream().read();
-                } catch (IOException | InterruptedException e) {
-                    return; // It was given up.
-                }
-            });
-            answer.start();
-            answer.join();
-            assertTrue(System.nanoTime() - begun < 6_000_000_000L, "no call lasted long enough");
+        int calls = callsUntilHeard(2_500, OK, event(2, false, entry("a", "DRAINING", "std")));
+        assertTrue(System.nanoTime() - begun < 3_000_000_000L, "the first call was given up");
+        assertTrue(calls <= 2, calls + " calls to a coordinator that is slow");
+    }
+
+    /** A call that is late does not keep the next from being heard. */
+    @Test
+    void whileOneCallIsLateTheNextIsHeardAndTheLateOneIsClosed() throws Exception {
+        try (Socket dead = asked(coordinator, 1); Socket next = asked(coordinator, 1)) {
+            say(next, OK + event(2, false, entry("a", "DRAINING", "std")));
+            assertEquals(2, taken.take().version());
+            assertEquals(-1, dead.getInputStream().read());
         }
     }
 
