A time does not stand for a poll before the first poll of the sockets

Cause, held likely: PollCycles takes 1 ms for a poll until a poll has found its mark ready. On a loop that is busy from its start on none has: a connection that came up is closed as never up, with the end on it. Change: until the first poll tasks wait for it; a mark that none has found ready within 1 s of the start is none, and 1 ms stands for a poll from then, as before.

--- a/src/main/java/cypressvalve/net/PollCycles.java
+++ b/src/main/java/cypressvalve/net/PollCycles.java
@@ -20,6 +20,17 @@
     private static final long SAMPLE_MILLIS = 25;
     private static final long UNMARKED_MILLIS = 1;
     private static final long NANOS_PER_MILLI = 1_000_000L;
+    /** A mark that no poll has found ready so long after the start is none. */
+    private static final long MARK_TRIED_MILLIS = 1_000;
+
+    /** Whether polls find the mark ready. */
+    private enum Mark {
+        /** Not known before the first poll: a loop may be busy with tasks from its start on. */
+        UNKNOWN,
+        WORKS,
+        /** There is none, or polls do not find it: a time stands in for it. */
+        FAILS
+    }
 
     private final XnioIoThread thread;
     /** Its writing end is the mark; none where the system had no pipe left. */
@@ -28,8 +39,7 @@
     private List<Runnable> armed = new ArrayList<>();
     /** What came since the mark was armed: the poll that finds it ready may have begun before. */
     private List<Runnable> later = new ArrayList<>();
-    /** Where there is no mark, or polls do not find it ready, a time stands in for it. */
-    private boolean markWorks;
+    private Mark state;
     private long completed;
     private long longestNanos;
     private volatile boolean closed;
@@ -38,8 +48,10 @@
     public PollCycles(XnioIoThread thread) {
         this.thread = thread;
         pipe = pipeOf(thread);
+        state = pipe.isPresent() ? Mark.UNKNOWN : Mark.FAILS;
         mark().ifPresent(mark -> mark.getWriteSetter().set(channel -> polled(mark)));
         thread.execute(this::arm);
+        thread.executeAfter(this::doubtMark, MARK_TRIED_MILLIS, TimeUnit.MILLISECONDS);
         sampleLater();
     }
 
@@ -55,6 +67,17 @@
         return pipe.map(ChannelPipe::getRightSide);
     }
 
+    private void doubtMark() {
+        if (state == Mark.UNKNOWN && !closed) {
+            state = Mark.FAILS;
+            List<Runnable> waiting = new ArrayList<>(armed);
+            waiting.addAll(later);
+            armed = new ArrayList<>();
+            later = new ArrayList<>();
+            waiting.forEach(thread::execute);
+        }
+    }
+
     private void arm() {
         mark().ifPresent(StreamSinkChannel::resumeWrites);
     }
@@ -69,7 +92,7 @@
         if (closed) {
             return;
         }
-        if (!markWorks) {
+        if (state == Mark.FAILS) {
             thread.executeAfter(task, UNMARKED_MILLIS, TimeUnit.MILLISECONDS);
         } else if (armed.isEmpty()) {
             armed.add(task);
@@ -92,7 +115,7 @@
     }
 
     private void polled(StreamSinkChannel mark) {
-        markWorks = true;
+        state = Mark.WORKS;
         completed++;
         List<Runnable> due = armed;
         armed = later;
--- a/src/test/java/cypressvalve/net/PollCyclesTest.java
+++ b/src/test/java/cypressvalve/net/PollCyclesTest.java
@@ -10,6 +10,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.ByteBuffer;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -140,7 +141,7 @@
 
     @Test
     void theLongestPollTellsHowLongTasksKeptTheLoopFromItsSockets() throws Exception {
-        onLoop(() -> chainOfTasks(System.nanoTime() + CHAIN_NANOS / 10));
+        onLoop(() -> chainOfTasks(thread, System.nanoTime() + CHAIN_NANOS / 10));
         assertEquals("the chain has ended", seen.poll(10, TimeUnit.SECONDS));
         onLoop(() -> polls.afterNext(() -> polls.afterNext(() -> seen.add("polled"))));
         assertNotNull(seen.take());
@@ -149,11 +150,49 @@
         assertTrue(longest >= 200, "the longest poll: " + longest + " ms");
     }
 
-    private void chainOfTasks(long until) {
-        thread.execute(() -> {
+    /** Guards against a time that stands for a poll on a loop that has had none since its start: what came up unseen was closed. */
+    @Test
+    void whatWaitsForAPollOfALoopThatIsBusyFromItsStartRunsBehindWhatKeepsItBusy() throws Exception {
+        XnioWorker other = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
+        CountDownLatch goOn = new CountDownLatch(1);
+        other.getIoThread().execute(() -> {
+            try {
+                goOn.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        try (PollCycles fresh = new PollCycles(other.getIoThread())) {
+            other.getIoThread().execute(() -> {
+                fresh.afterNext(() -> seen.add("after the poll"));
+                for (int i = 0; i < CHAINS; i++) {
+                    chainOfDueTimers(other.getIoThread(), System.nanoTime() + CHAIN_NANOS / 10);
+                }
+                keepBusy(); // The chains are due by then, and no poll comes between.
+            });
+            goOn.countDown();
+            assertEquals("a chain has ended", seen.take());
+        } finally {
+            other.shutdownNow();
+        }
+    }
+
+    private void chainOfDueTimers(XnioIoThread on, long until) {
+        on.executeAfter(() -> {
+            keepBusy();
+            if (System.nanoTime() < until) {
+                chainOfDueTimers(on, until);
+            } else {
+                seen.add("a chain has ended");
+            }
+        }, 1, TimeUnit.MILLISECONDS);
+    }
+
+    private void chainOfTasks(XnioIoThread on, long until) {
+        on.execute(() -> {
             keepBusy();
             if (System.nanoTime() < until) {
-                chainOfTasks(until);
+                chainOfTasks(on, until);
             } else {
                 seen.add("the chain has ended");
             }
