Vanished machines' connections no longer hold the places that looks need

Cause: looks at a host need a place, places come from half-closing, and 8 that wait for their host's end are the most; vanished machines never end theirs, and one on which nothing was ever said was not closed for another. Evidence: counts once a second show 76 held and no connection opened or closed from 3 s on. Change: for a host long out of reach one such goes, once for each silence of its host, whose next connection then stays; a host all of whose connections wait for their end is out of reach; one that does not end a connection is looked at at once; where looks are late the second failed try decides. Why it works: each vanished machine frees its place after a second, and a host that stands still says its ends again on the next connection, which is kept.

--- a/src/main/java/cypressvalve/host/rtsp/ConnectionBudget.java
+++ b/src/main/java/cypressvalve/host/rtsp/ConnectionBudget.java
@@ -59,6 +59,12 @@
 
         /** Whether its host has said nothing anywhere since it could have said something on it. */
         boolean mayHoldUnsaidEnds();
+
+        /**
+         * Whether a connection to its host was closed on which the host had said nothing, and it has said nothing since. What it says there
+         * once it goes on is lost, and said again on the next one that it takes: that one must stay.
+         */
+        boolean hostIsSilent();
     }
 
     private final int maxConnections;
@@ -113,7 +119,7 @@
         boolean keepsOnlyOnes = !reaches(purpose) && held.stream().anyMatch(connection -> !connection.life().isGivenUp() && !connection.isOnlyOneOfHost());
         return held.stream().filter(connection -> connection.mayMakeRoom() && (purpose == Purpose.SEND || connection.listenedLongEnough()))
             .filter(connection -> !keepsOnlyOnes || !connection.hostCarriesSessions() || !connection.isOnlyOneOfHost())
-            .filter(connection -> !connection.hostCarriesSessions() || !connection.hostHasUnendedFor(SLOW_TO_END))
+            .filter(connection -> !connection.hostCarriesSessions() || !connection.hostHasUnendedFor(SLOW_TO_END) && !connection.hostIsSilent())
             .min(Comparator.comparing(Held::hostCarriesSessions)
                 .thenComparing(Held::isOnlyOneOfHost)
                 .thenComparing(connection -> !connection.listenedLongEnough())
@@ -127,13 +133,16 @@
      * The half-closed one to be closed though its host has not ended it; none where a host may yet say an end there: one of a host that
      * carries no sessions, or whose process has run since and keeps its side. For a host that carries sessions and has no connection one
      * that the other host's process has taken goes, too, once that has had the time to end it: where it says an end there, it says that
-     * again on the one in its queue; at last the oldest, though it has none.
+     * again on the one in its queue; at last the oldest, though it has none, also where that was never taken: for each host that is silent one, as
+     * its machine may have vanished and will never end any.
      */
     Optional<C> closable(Purpose purpose, long now) {
         return firstEnding(connection -> !connection.hostCarriesSessions())
             .or(() -> firstEnding(connection -> connection.life().notEndedFor(END_TIMEOUT, now)))
             .or(() -> reaches(purpose) ? firstEnding(connection -> isOverdue(connection, now) && connection.hostHasQueued()) : Optional.empty())
-            .or(() -> purpose == Purpose.REACH_AT_LAST ? firstEnding(connection -> isOverdue(connection, now)) : Optional.empty());
+            .or(() -> purpose == Purpose.REACH_AT_LAST ? firstEnding(connection -> isOverdue(connection, now)) : Optional.empty())
+            .or(() -> purpose == Purpose.REACH_AT_LAST ? firstEnding(connection -> connection.life().givenUpFor(END_TIMEOUT, now)
+                && !connection.hostIsSilent()) : Optional.empty());
     }
 
     private static boolean reaches(Purpose purpose) {
--- a/src/main/java/cypressvalve/host/rtsp/Lifeline.java
+++ b/src/main/java/cypressvalve/host/rtsp/Lifeline.java
@@ -23,6 +23,8 @@
     private static final long AGAIN = 300_000_000L;
     /** So many tries in a row that came to nothing prove the loss: one may meet a full table, or be reset when new. */
     private static final int FAILED_TRIES = 3;
+    /** The same where looks came late and no connection is open: each waits for a place. */
+    private static final int FAILED_TRIES_WHEN_LATE = 2;
 
     /**
      * A host that says nothing for so long is tested: as late as the time in which an end must be known allows, as all
@@ -81,7 +83,7 @@
             return Step.LOST;
         }
         long quiet = now - Math.max(heardAt, provedAt);
-        if (quiet >= DECIDED && failed > 0 && unanswered) {
+        if (quiet >= DECIDED && (open ? failed > 0 && unanswered : failed >= FAILED_TRIES_WHEN_LATE)) {
             return Step.LOST; // Looks came late; more tries would take longer than ends may.
         }
         if (open && failed > 0 && testedAt < heardAt) {
--- a/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
+++ b/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
@@ -754,7 +754,8 @@
                 lost();
                 return;
             }
-            if (connection == null && repeats.isClosedForRoom(now) && !budget.hasRoom()) {
+            boolean endedSoon = connections.stream().noneMatch(candidate -> candidate.life.givenUpFor(ConnectionBudget.SLOW_TO_END, now));
+            if (connection == null && repeats.isClosedForRoom(now) && endedSoon && !budget.hasRoom()) {
                 return;
             }
             switch (lifeline.step(now, connection != null, connections.stream().anyMatch(candidate -> !candidate.life.hasComeUp()))) {
@@ -775,10 +776,12 @@
         }
 
         private ConnectionBudget.Purpose listenPurpose(long now) {
-            if (!connections.isEmpty()) {
+            if (connections.stream().anyMatch(connection -> !connection.life.isGivenUp())) {
                 return ConnectionBudget.Purpose.LISTEN;
             }
-            return repeats.withoutConnectionFor(ConnectionBudget.REACH_PATIENCE, now) ? ConnectionBudget.Purpose.REACH_AT_LAST : ConnectionBudget.Purpose.REACH;
+            boolean forLong = connections.isEmpty() ? repeats.withoutConnectionFor(ConnectionBudget.REACH_PATIENCE, now)
+                : connections.stream().allMatch(connection -> connection.life.givenUpFor(ConnectionBudget.REACH_PATIENCE, now));
+            return forLong ? ConnectionBudget.Purpose.REACH_AT_LAST : ConnectionBudget.Purpose.REACH;
         }
 
         private void lost() {
@@ -977,6 +980,11 @@
             return life.hasComeUp() && !life.isClosed() && pool.carriesSessions() && !pool.gone && pool.heardAt <= life.reachedAt();
         }
 
+        @Override
+        public boolean hostIsSilent() {
+            return pool.repeats.isSilent();
+        }
+
         @Override
         public boolean isOnlyOneOfHost() {
             return pool.connections.stream().noneMatch(connection -> connection != this && connection.life.hasComeUp() && !connection.life.isRetired());
--- a/src/test/java/cypressvalve/host/rtsp/ConnectionBudgetTest.java
+++ b/src/test/java/cypressvalve/host/rtsp/ConnectionBudgetTest.java
@@ -22,6 +22,7 @@
         private boolean inUse;
         private boolean hasUnended;
         private boolean hasQueued;
+        private boolean isSilent;
 
         private Connection(boolean carriesSessions) {
             this.carriesSessions = carriesSessions;
@@ -67,6 +68,11 @@
         public boolean mayHoldUnsaidEnds() {
             return false;
         }
+
+        @Override
+        public boolean hostIsSilent() {
+            return isSilent;
+        }
     }
 
     private Connection opened(boolean carriesSessions) {
@@ -115,6 +121,28 @@
         assertEquals(Optional.of(onlyOne), budget.leastNeeded(Purpose.REACH));
     }
 
+    /** Guards against vanished hosts' connections that hold all places of those that end, so that no other host can be looked at. */
+    @Test
+    void oneThatItsHostNeverTookGoesForAHostLongOutOfReachOnceForEachSilence() {
+        Connection neverTaken = givenUp(true);
+        assertEquals(Optional.empty(), budget.closable(Purpose.REACH, LONG_AGO));
+        assertEquals(Optional.empty(), budget.closable(Purpose.REACH_AT_LAST, 2 + ConnectionBudget.END_TIMEOUT));
+        assertEquals(Optional.of(neverTaken), budget.closable(Purpose.REACH_AT_LAST, LONG_AGO));
+        neverTaken.isSilent = true;
+        assertEquals(Optional.empty(), budget.closable(Purpose.REACH_AT_LAST, LONG_AGO));
+    }
+
+    /** Guards against ends that are said twice, on two connections that were both given up. */
+    @Test
+    void theNextConnectionOfAHostThatIsSilentIsNotGivenUp() {
+        Connection next = opened(true);
+        next.isSilent = true;
+        assertEquals(Optional.empty(), budget.leastNeeded(Purpose.SEND));
+        assertEquals(Optional.empty(), budget.leastNeeded(Purpose.REACH));
+        next.isSilent = false;
+        assertEquals(Optional.of(next), budget.leastNeeded(Purpose.REACH));
+    }
+
     @Test
     void halfClosedConnectionsBeyondTheirNumberLeaveNoRoom() {
         for (int i = 0; i < 2 + ConnectionBudget.MAX_ENDING; i++) {
--- a/src/test/java/cypressvalve/host/rtsp/LifelineTest.java
+++ b/src/test/java/cypressvalve/host/rtsp/LifelineTest.java
@@ -50,6 +50,26 @@
         assertTrue(lost <= OWED, "lost at " + lost / MILLI);
     }
 
+    /** Guards against a loss that is known too late, as each try waits for a place: no connection is open, and few tries are made. */
+    @Test
+    void aMachineToWhichTriesAreFewCountsAsLostByTheSecondThatFailsOnceItIsLate() {
+        Lifeline lifeline = new Lifeline(0, CONNECT_TIMEOUT);
+        for (long triedAt : new long[] {5_000 * MILLI, 6_800 * MILLI}) {
+            assertEquals(Lifeline.Step.CONNECT, lifeline.step(triedAt, false, false));
+            lifeline.began(triedAt);
+            lifeline.unreached(triedAt + CONNECT_TIMEOUT);
+        }
+        assertEquals(Lifeline.Step.LOST, lifeline.step(7_050 * MILLI, false, false));
+    }
+
+    @Test
+    void aHostThatWasNotLookedAtForLongIsNotLostByOneTryThatFails() {
+        Lifeline lifeline = new Lifeline(0, CONNECT_TIMEOUT);
+        lifeline.began(8_000 * MILLI);
+        lifeline.unreached(8_250 * MILLI);
+        assertEquals(Lifeline.Step.CONNECT, lifeline.step(8_300 * MILLI, false, false));
+    }
+
     @Test
     void aHostThatStandsStillIsKeptAsItsSystemTakesConnections() {
         Lifeline lifeline = new Lifeline(0, CONNECT_TIMEOUT);
