Of two media hosts at one address the one that started last is there

Sessions of the old one were told 14.7 s after their end. Cause: the list drops the old one seconds after it names the new one, and until then the old one stayed active: warm by its id, alive by connections to its address. Evidence: all set-ups left under the old id after the word on the new one. Change: AddressHolders decides who holds an address; whoever held it before has gone, whatever the list still says of it. Why it works: what has gone gets nothing new, what waits for it is cancelled, and what plays there is over 1.5 s later, by the way that the list's own word takes.

--- a/src/main/java/cypressvalve/session/SessionCore.java
+++ b/src/main/java/cypressvalve/session/SessionCore.java
@@ -8,6 +8,7 @@
 import cypressvalve.config.Service;
 import cypressvalve.fleet.ListEntry;
 import cypressvalve.fleet.ListFollower;
+import cypressvalve.fleet.membership.AddressHolders;
 import cypressvalve.host.Carried;
 import cypressvalve.host.HostAddress;
 import cypressvalve.host.HostClient;
@@ -64,6 +65,7 @@
     private final Map<String, Integer> byToken = new HashMap<>();
     private final Map<Long, MediaHost> hosts = new HashMap<>();
     private final Map<Long, HostAddress> addresses = new HashMap<>();
+    private final AddressHolders holders = new AddressHolders();
     private final Map<SetupTry, HostClient.Call> calls = new HashMap<>();
     private final Map<Long, Integer> playingAt = new HashMap<>();
     /** What media hosts say of sessions that do not play here, or no longer. */
@@ -367,6 +369,7 @@
                 if (before != null && (!before.equals(entry.address()) || entry.startedAt() > host.startedAt)) {
                     cut(host, entry.startedAt(), !before.equals(entry.address()));
                 }
+                holders.named(entry.address(), entry.startedAt(), !entry.address().equals(before));
                 host.state = entry.state();
                 host.rating = entry.weight();
                 host.startedAt = entry.startedAt();
@@ -377,6 +380,8 @@
                 host.places = settings.places.getOrDefault(host.kind, 1.0);
                 named.add(host);
             }
+            addresses.values().stream().filter(address -> !holders.holds(address))
+                .forEach(address -> hosts.get(address.id()).state = MediaHost.State.GONE);
             control.listed(named, whole);
             addresses.forEach((id, address) -> {
                 MediaHost.State state = hosts.get(id).state;
@@ -389,6 +394,7 @@
             if (hosts(MediaHost.State.GONE) > MOST_GONE) {
                 hosts.values().removeIf(h -> h.state == MediaHost.State.GONE && !h.carries());
                 addresses.keySet().retainAll(hosts.keySet());
+                holders.keep(hosts.keySet());
             }
         });
     }
--- a/src/test/java/cypressvalve/session/SessionCoreTest.java
+++ b/src/test/java/cypressvalve/session/SessionCoreTest.java
@@ -109,6 +109,22 @@
         return answer;
     }
 
+    /** Guards against set-ups for a host that has vanished which reach a cold one at its address, or one that does not hold the title. */
+    @Test
+    void nothingIsSetUpAtAHostWhoseAddressAnotherHoldsThoughTheListHasNotDroppedIt() {
+        HostAddress taken = new HostAddress(7, "127.0.0.1", 9000);
+        core.listed(List.of(new ListEntry(taken, MediaHost.State.ACTIVE, 1, now, 2, "std", "")), false);
+        assertFalse(core.serving(0));
+        assertTrue(core.serving(7));
+        core.listed(List.of(entry(0, MediaHost.State.ACTIVE)), false); // Said again, or late.
+        assertFalse(core.serving(0));
+        for (int i = 0; i < 4; i++) {
+            ask("viewer " + i, "plain");
+        }
+        assertEquals(4, calls.stream().filter(call -> call.startsWith("set-up ") && call.endsWith(" on 1")).count(), calls.toString());
+        assertEquals(1, core.hosts(MediaHost.State.GONE));
+    }
+
     @Test
     void aRetryThatComesWhileTheFirstTryIsOpenJoinsIt() {
         ask("a", "plain");
