What ends sessions at a host that has gone waits for it to be listed again

What callers saw: a session stood for good at a media host that was cut off and dropped from the list meanwhile; another was set up for its only seat. Cause: a release to a host that the list says has gone was dropped where no other has its address. Evidence: event RELEASE_TO_HOST_DROPPED, and the test. Change: it waits for 60 s for the host to be listed again or for another there.

--- a/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
+++ b/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
@@ -58,6 +58,8 @@
      * its address: a connection opened between its death and the list's word of it may have reached another.
      */
     private static final long GONE_GRACE = 1_500_000_000L;
+    /** A host that has gone from the list may come back: what ends its sessions is kept for so long. */
+    private static final long RETURN_AWAITED = 60_000_000_000L;
     /** What still comes on a connection that can't be read any more, before its end is no longer awaited. */
     private static final int MAX_DISCARDED_BYTES = 64 * 1024;
     /**
@@ -168,7 +170,7 @@
 
     /** Whether the end of a session waits for a connection to its host. */
     public boolean owesEndings() {
-        return Stream.concat(pools.values().stream(), replaced.stream()).anyMatch(pool -> pool.outbound.owesEndings());
+        return Stream.concat(pools.values().stream(), replaced.stream()).anyMatch(pool -> !pool.gone && pool.outbound.owesEndings());
     }
 
     /** For the log: how many may be held, how long one took to come up at most, and why they were given up since this was asked for last. */
@@ -702,15 +704,33 @@
         private HostConnection passOn(OutboundMessage message) {
             Optional<ConnectionPool> successor = successor();
             if (successor.isEmpty()) {
-                dropped(message.session(), "the list says that its host has gone");
+                keepForReturn(message);
             }
             return successor.map(pool -> pool.send(message)).orElse(null);
         }
 
+        /** A host that was cut off and dropped from the list meanwhile holds its sessions still: it may be listed again. */
+        private void keepForReturn(OutboundMessage message) {
+            if (outbound.add(message)) {
+                events.record(EventKind.RELEASE_TO_HOST_WAITS, message.session(), EventLog.NONE, address.id(), "for its host to be listed again");
+            } else {
+                dropped(message.session(), "too many wait");
+            }
+        }
+
         private void passOnWaiting() {
             outbound.takeEndings().forEach(this::passOn);
         }
 
+        /** What waits for a host that has gone goes to the one that has come to its address, and after long to none. */
+        private void seeToWaitingOfGone(long now) {
+            if (successor().isPresent()) {
+                passOnWaiting();
+            } else if (now - goneAt > RETURN_AWAITED) {
+                outbound.takeEndings().forEach(message -> dropped(message.session(), "the list says that its host has gone"));
+            }
+        }
+
         private void dropped(String session, String why) {
             events.record(EventKind.RELEASE_TO_HOST_DROPPED, session, EventLog.NONE, address.id(), why);
         }
@@ -799,6 +819,8 @@
             if (followed) {
                 checkLiveness();
                 reopen();
+            } else if (gone && !outbound.isEmpty()) {
+                seeToWaitingOfGone(now);
             } else if (outbound.retryDue(now) && connections.stream().allMatch(connection -> connection.life.isRetired())
                 && makeRoom(ConnectionBudget.Purpose.SEND)) {
                 new HostConnection(this);
--- a/src/test/java/cypressvalve/host/rtsp/ConnectionEndsTest.java
+++ b/src/test/java/cypressvalve/host/rtsp/ConnectionEndsTest.java
@@ -301,6 +301,22 @@
         }
     }
 
+    /** Guards against a session that stands for ever at a host that was cut off, and dropped from the list meanwhile. */
+    @Test
+    void aSessionOfAHostThatHasGoneIsEndedThereOnceItIsListedAgain() throws Exception {
+        try (Socket before = carriesASetUp("00000000000000aa")) {
+            served(before, "00000000000000aa");
+        }
+        awaitNoConnection();
+        onLoop(() -> client.gone(host, true));
+        onLoop(() -> client.release(host, "00000000000000aa.0"));
+        onLoop(() -> client.gone(host, false));
+        try (Socket again = server.accept()) {
+            String said = message(reader(again));
+            assertTrue(said.startsWith(RELEASE) && said.contains("00000000000000aa"), said);
+        }
+    }
+
     /** The set-up may have reached the host that took the address before the list told of it. */
     @Test
     void aSessionOfAHostThatHasGoneIsEndedAtTheHostThatTookItsAddress() throws Exception {
