--- a/src/main/java/cypressvalve/soak/CoordinatorEmulator.java
+++ b/src/main/java/cypressvalve/soak/CoordinatorEmulator.java
@@ -231,8 +231,9 @@
 
     /** The events from that one on; none if none came within the time between comments. */
     private synchronized List<String> after(int next) throws InterruptedException {
-        if (events.size() <= next) {
-            wait(COMMENT_MILLIS);
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(COMMENT_MILLIS);
+        while (events.size() <= next && System.nanoTime() < until) {
+            TimeUnit.NANOSECONDS.timedWait(this, until - System.nanoTime()); // What is written to other streams wakes it, too.
         }
         return List.copyOf(events.subList(Math.min(next, events.size()), events.size()));
     }
