Emulated media hosts: connections are taken without waiting for new threads

Cause: whoever took connections started two threads for each, under the host's lock. A start lasts until the new thread is scheduled, so on a busy machine connections came faster than they were taken, the system's queue of 32 overflowed, and the next ones came up a second later, as the system tried again: arrivals were noted up to 1.5 s late.

Change: threads are used again, and the lock is not held meanwhile.

--- a/src/main/java/cypressvalve/soak/MediaHostEmulator.java
+++ b/src/main/java/cypressvalve/soak/MediaHostEmulator.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -30,6 +31,7 @@
     private final HostListener listener;
     private final HostSessions sessions;
     private final ScheduledExecutorService ends;
+    private final ExecutorService threads;
     private final Set<HostConnection> connections = ConcurrentHashMap.newKeySet();
     /** Attempts that are out: they have come whole and have not ended. */
     private final Set<OpenAttempt> open = ConcurrentHashMap.newKeySet();
@@ -71,19 +73,21 @@
         this.record = record;
         sessions = new HostSessions(name, record, repeatsHeardReleases);
         chance = RandomGeneratorFactory.of("L64X128MixRandom").create(name.hashCode());
-        ends = Executors.newSingleThreadScheduledExecutor(task -> {
-            Thread thread = new Thread(task, "sessions of " + name);
-            thread.setDaemon(true);
-            return thread;
-        });
+        ends = Executors.newSingleThreadScheduledExecutor(task -> daemon(task, "sessions of " + name));
+        threads = Executors.newCachedThreadPool(task -> daemon(task, "media host " + name));
         listener = new HostListener(port, this::connected);
         start(listener);
     }
 
+    /** Threads are used again: one that starts keeps whoever takes connections from them until it is scheduled. */
     private void start(Runnable task) {
-        Thread thread = new Thread(task, "media host " + name);
+        threads.execute(task);
+    }
+
+    private static Thread daemon(Runnable task, String threadName) {
+        Thread thread = new Thread(task, threadName);
         thread.setDaemon(true);
-        thread.start();
+        return thread;
     }
 
     public String name() {
@@ -208,10 +212,12 @@
         }
     }
 
-    private synchronized void connected(Socket socket) {
+    private void connected(Socket socket) {
         try {
             HostConnection connection = new HostConnection(socket);
-            connection.late = acceptsLate;
+            synchronized (this) {
+                connection.late = acceptsLate;
+            }
             connection.start();
         } catch (IOException e) {
             return; // It has ended already.
