What may concern the set-up before shows nothing of the attempt cancelled last

Cause: an acknowledgement names its session alone, and any counted as that of the attempt cancelled last: here it was that of the TEARDOWN of the first attempt's session, on the same connection. Found by going through what else names a session alone: a late refusal, and a host's release.

Change: UnreadMessages keeps TEARDOWNs in order, and an acknowledgement is that of the first of its session which may be unread; it shows that all before it was read, as a test's answer does. AnswerHistory counts the set-ups that were given up on a connection; with more than one, a refusal or a release shows nothing of the last.

--- a/src/main/java/cypressvalve/host/rtsp/AnswerHistory.java
+++ b/src/main/java/cypressvalve/host/rtsp/AnswerHistory.java
@@ -10,8 +10,11 @@
 final class AnswerHistory {
     private static final long LATE_ANSWER_WINDOW = 30_000_000_000L;
 
+    /** Set-ups of one session that were given up here. */
+    private record GivenUp(int count, long lastAt) { }
+
     /** Given up: an answer may still come. */
-    private final Map<String, Long> cancelled = new HashMap<>();
+    private final Map<String, GivenUp> cancelled = new HashMap<>();
     /** Answered, but not to play: the answer may come again. */
     private final Map<String, Long> refused = new HashMap<>();
     /** They play by an answer that may have been the one to a cancelled attempt before. */
@@ -19,7 +22,8 @@
 
     /** The set-up is given up on this connection. */
     void cancelled(String session, long now) {
-        cancelled.put(session, now);
+        GivenUp before = cancelled.get(session);
+        cancelled.put(session, new GivenUp(before == null ? 1 : before.count + 1, now));
     }
 
     /** Whether an answer to a cancelled set-up may still come. */
@@ -27,6 +31,11 @@
         return cancelled.containsKey(session);
     }
 
+    /** Whether what comes may concern a set-up that was cancelled before the last one, and so tells nothing of that. */
+    boolean mayConcernOneBefore(String session) {
+        return cancelled.containsKey(session) && cancelled.get(session).count > 1;
+    }
+
     /** The answer to a cancelled set-up has come; whether one was due. */
     boolean takeCancelled(String session) {
         return cancelled.remove(session) != null;
@@ -54,7 +63,7 @@
 
     /** Forgets what can't be answered any more. */
     void expire(long now) {
-        cancelled.values().removeIf(at -> now - at > LATE_ANSWER_WINDOW);
+        cancelled.values().removeIf(givenUp -> now - givenUp.lastAt > LATE_ANSWER_WINDOW);
         refused.values().removeIf(at -> now - at > LATE_ANSWER_WINDOW);
         ambiguous.values().removeIf(at -> now - at > LATE_ANSWER_WINDOW);
     }
--- a/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
+++ b/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
@@ -42,6 +42,9 @@
 public final class RtspHostClient implements HostClient {
     private static final int SET_UP = Rtsp.SET_UP;
     private static final int TEARDOWN = 2;
+    /** How the end of a session is known to be read, as events tell it. */
+    private static final String ACKNOWLEDGED = "acknowledged";
+    private static final String ANSWERED_BEHIND = "answered behind it";
     private static final int OPTIONS = 3;
     private static final int NORMAL_CLEARING = 16;
     private static final int WITHDRAWN = 31;
@@ -1270,7 +1273,7 @@
         /** Set-ups that have left and whose answers may be lost with the connection: their sessions may stand. */
         private void oweCancels() {
             attempts.values().stream().filter(attempt -> attempt.sent != null && !duplex.waits(attempt.sent))
-                .forEach(attempt -> unread.cancelled(attempt.order.playback(), proofs.written()));
+                .forEach(attempt -> unread.owesCancel(attempt.order.playback(), proofs.written()));
         }
 
         private void write(byte[] message) {
@@ -1457,7 +1460,7 @@
                     accept(answer);
                 } else {
                     events.record(EventKind.ANSWER_REJECTED, session, number, pool.address.id(), "its connection has ended");
-                    unread.cancelled(session, proofs.written());
+                    unread.owesCancel(session, proofs.written());
                 }
             }
         }
@@ -1469,7 +1472,7 @@
             if (message.sequence() == OPTIONS) {
                 SentTest test = tests.remove(message.session());
                 if (test != null) {
-                    provenRead(test.position);
+                    provenRead(test.position, ANSWERED_BEHIND);
                     pool.answered(test.sentAt);
                 }
                 if (probe != null) {
@@ -1478,8 +1481,7 @@
             } else if (message.sequence() == SET_UP && attempt == null) {
                 answeredLate(message);
             } else if (message.sequence() == TEARDOWN) {
-                noteReleasesRead(unread.acknowledged(message.session()), "acknowledged");
-                cancelRead(message.session());
+                acknowledged(message.session());
             } else if (message.sequence() == SET_UP && message.status() == 200) {
                 proveBy(attempt);
                 pool.repeats.begun(attempt.sentAt, pool.followed);
@@ -1503,14 +1505,22 @@
         /** An answer that can only be that attempt's own shows that all before it was read. */
         private void proveBy(Attempt attempt) {
             if (!history.mayAnswerCancelled(attempt.order.playback())) {
-                provenRead(attempt.position);
+                provenRead(attempt.position, ANSWERED_BEHIND);
                 pool.answered(attempt.sentAt);
             }
         }
 
-        /** The host has read what was written up to that position. */
-        private void provenRead(long position) {
-            noteReleasesRead(unread.readUpTo(position), "answered behind it");
+        /** The host has read a TEARDOWN, and so all before it. */
+        private void acknowledged(String session) {
+            long position = unread.acknowledged(session);
+            if (position != UnreadMessages.NONE) {
+                provenRead(position + 1, ACKNOWLEDGED);
+            }
+        }
+
+        /** The host has read what was written before that position. */
+        private void provenRead(long position, String how) {
+            noteReleasesRead(unread.readUpTo(position), how);
             proofs.answered(position).forEach(Attempt::provenOver);
         }
 
@@ -1524,6 +1534,7 @@
                 }
                 return;
             }
+            boolean ofOneBefore = history.mayConcernOneBefore(session);
             if (takeCancelled(session)) {
                 history.refused(session, life.heardAt());
             }
@@ -1532,7 +1543,9 @@
                 sendOnAny(released(session));
                 notes.ended(pool.address.id(), session, Verdict.BROKEN);
             }
-            cancelRead(session);
+            if (!ofOneBefore) {
+                cancelRead(session);
+            }
         }
 
         /** Whether the answer to a cancelled set-up was due, which has come: what is owed for that is told by the answer. */
@@ -1553,7 +1566,9 @@
             switch (message.method()) {
                 case "TEARDOWN" -> {
                     write(Rtsp.response(200, "OK", Math.max(0, message.sequence()), message.session()));
-                    cancelRead(message.session());
+                    if (!history.mayConcernOneBefore(message.session())) {
+                        cancelRead(message.session());
+                    }
                     Attempt attempt = attempts.get(message.session());
                     Verdict verdict = switch (message.cause()) {
                         case NORMAL_CLEARING -> Verdict.OK;
--- a/src/main/java/cypressvalve/host/rtsp/UnreadMessages.java
+++ b/src/main/java/cypressvalve/host/rtsp/UnreadMessages.java
@@ -5,48 +5,67 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.Predicate;
+import java.util.Objects;
 
 /**
  * What ends sessions and attempts at a media host, was written to one connection, and is not known to be read: owed again elsewhere once the
  * connection is over. A host reads a connection in order. Free of I/O and clocks.
  */
 final class UnreadMessages {
+    /** No position. */
+    static final long NONE = -1;
     /** More than a host can carry sessions; the oldest of more are given up. */
     private static final int MAX_KEPT = 512;
 
-    private record Ending(OutboundMessage message, long position) { }
+    /**
+     * A TEARDOWN as it was written.
+     *
+     * @param ending what ends a session that stood; null for an attempt's cancel
+     */
+    private record Teardown(String session, long position, OutboundMessage ending) { }
 
-    private final ArrayDeque<Ending> endings = new ArrayDeque<>();
+    /** Those not known to be read, in the order in which they were written. */
+    private final ArrayDeque<Teardown> teardowns = new ArrayDeque<>();
     /** Cancels by session, with their positions. */
     private final Map<String, Long> cancels = new HashMap<>();
 
     /** A message that ends a session is written; returns the session whose own is given up for it, or null. */
     String ending(OutboundMessage message, long position) {
-        endings.add(new Ending(message, position));
-        return endings.size() > MAX_KEPT ? endings.poll().message.session() : null;
+        return written(new Teardown(message.session(), position, message));
     }
 
     /** An attempt's cancel is written. */
     void cancelled(String session, long position) {
         cancels.put(session, position);
+        written(new Teardown(session, position, null));
+    }
+
+    private String written(Teardown teardown) {
+        teardowns.add(teardown);
+        Teardown givenUp = teardowns.size() > MAX_KEPT ? teardowns.poll() : null;
+        return givenUp == null || givenUp.ending == null ? null : givenUp.session;
+    }
+
+    /** The attempt's end is owed, though no cancel is written on this connection any more. */
+    void owesCancel(String session, long position) {
+        cancels.put(session, position);
     }
 
     /** The host has read all that was written before that position; returns the sessions whose ends it has read so. */
     List<String> readUpTo(long position) {
         cancels.values().removeIf(cancel -> cancel < position);
-        return take(ending -> ending.position < position);
-    }
-
-    /** The host has acknowledged the session's end; returns the session once for each that was not known to be read. */
-    List<String> acknowledged(String session) {
-        return take(ending -> ending.message.session().equals(session));
+        List<String> ended = teardowns.stream().filter(teardown -> teardown.position < position && teardown.ending != null)
+            .map(Teardown::session).toList();
+        teardowns.removeIf(teardown -> teardown.position < position);
+        return ended;
     }
 
-    private List<String> take(Predicate<Ending> which) {
-        List<String> taken = endings.stream().filter(which).map(ending -> ending.message.session()).toList();
-        endings.removeIf(which);
-        return taken;
+    /**
+     * Where the TEARDOWN stands that the host has acknowledged, or {@link #NONE}. An acknowledgement names its session alone, and hosts need
+     * send none: it is taken for that of the first which may be unread, as it may be no other's.
+     */
+    long acknowledged(String session) {
+        return teardowns.stream().filter(teardown -> teardown.session.equals(session)).mapToLong(Teardown::position).findFirst().orElse(NONE);
     }
 
     /** The cancelled attempt's answer has come; returns whether its cancel was not known to be read. */
@@ -56,8 +75,8 @@
 
     /** What ends sessions and may be unread; it is owed by the caller from now on. */
     List<OutboundMessage> takeEndings() {
-        List<OutboundMessage> owed = endings.stream().map(Ending::message).toList();
-        endings.clear();
+        List<OutboundMessage> owed = teardowns.stream().map(Teardown::ending).filter(Objects::nonNull).toList();
+        teardowns.clear();
         return owed;
     }
 
--- a/src/test/java/cypressvalve/host/rtsp/RtspHostClientTest.java
+++ b/src/test/java/cypressvalve/host/rtsp/RtspHostClientTest.java
@@ -1,6 +1,7 @@
 package cypressvalve.host.rtsp;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import cypressvalve.diagnostics.EventLog;
@@ -25,6 +26,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
@@ -201,6 +204,38 @@
         }
     }
 
+    /** Guards against a further attempt beside one whose cancel may be unread: what concerned the attempt before passed for its own. */
+    @ParameterizedTest
+    @ValueSource(strings = {"RTSP/1.0 200 OK\r\nCSeq: 2", "RTSP/1.0 453 Full\r\nCSeq: 1", "TEARDOWN rtsp://media/s RTSP/1.0\r\nCSeq: 2"})
+    void whatMayConcernTheAttemptBeforeDoesNotShowThatACancelWasRead(String word) throws Exception {
+        HostClient.Call[] call = new HostClient.Call[1];
+        onLoop(() -> call[0] = setUp("00000000000000aa"));
+        try (Socket first = server.accept()) {
+            cancelledOn(first, call);
+            first.setSoLinger(true, 0);
+        }
+        assertEquals("back 00000000000000aa WITHDRAWN", told.take());
+        try (Socket second = server.accept()) {
+            BufferedReader in = reader(second);
+            assertTrue(message(in).startsWith(RELEASE), "the end of the first attempt");
+            onLoop(() -> setUp("00000000000000aa", 300_000_000L));
+            assertTrue(message(in).startsWith("SETUP"));
+            assertTrue(message(in).startsWith(RELEASE), "its time is up");
+            say(second, word + "\r\nSession: 00000000000000aa", "");
+            say(second, "TEARDOWN rtsp://media/s RTSP/1.0\r\nCSeq: 2\r\nSession: 00000000000000bb\r\nReason: cause=16", "");
+            awaitTold("ended 00000000000000bb OK", "back ");
+            say(second, "RTSP/1.0 200 OK\r\nCSeq: 2\r\nSession: 00000000000000aa", "");
+            say(second, "RTSP/1.0 200 OK\r\nCSeq: 2\r\nSession: 00000000000000aa", "");
+            assertEquals("back 00000000000000aa TIMEOUT", told.take());
+        }
+    }
+
+    private void awaitTold(String wanted, String notBefore) throws InterruptedException {
+        for (String word = told.take(); !word.equals(wanted); word = told.take()) {
+            assertFalse(word.startsWith(notBefore), word);
+        }
+    }
+
     @Test
     void aCancelledAttemptIsReportedOverOnceItsHostHasEndedTheConnection() throws Exception {
         onLoop(() -> setUp("00000000000000aa", 20_000_000L));
--- a/src/test/java/cypressvalve/host/rtsp/UnreadMessagesTest.java
+++ b/src/test/java/cypressvalve/host/rtsp/UnreadMessagesTest.java
@@ -42,10 +42,26 @@
     }
 
     @Test
-    void anAcknowledgedEndIsRead() {
+    void anAcknowledgedEndIsReadAndAllBeforeIt() {
         unread.ending(end("aa"), 1);
         unread.ending(end("bb"), 2);
-        assertEquals(List.of("bb"), unread.acknowledged("bb"));
-        assertEquals(List.of("aa"), takeEndings());
+        unread.ending(end("cc"), 3);
+        assertEquals(2, unread.acknowledged("bb"));
+        assertEquals(UnreadMessages.NONE, unread.acknowledged("dd"));
+        assertEquals(List.of("aa", "bb"), unread.readUpTo(2 + 1));
+        assertEquals(List.of("cc"), takeEndings());
+    }
+
+    /** Guards against a cancel that counts as read by the acknowledgement of an end of the session before it. */
+    @Test
+    void anAcknowledgementIsTakenForThatOfTheFirstOfTheSession() {
+        unread.ending(end("aa"), 1);
+        unread.cancelled("aa", 3);
+        unread.ending(end("aa"), 5);
+        assertEquals(1, unread.acknowledged("aa"));
+        assertEquals(List.of("aa"), unread.readUpTo(1 + 1));
+        assertEquals(3, unread.acknowledged("aa"));
+        assertEquals(List.of(), unread.readUpTo(3 + 1));
+        assertEquals(5, unread.acknowledged("aa"));
     }
 }
