--- a/src/main/java/cypressvalve/host/rtsp/UnreadMessages.java
+++ b/src/main/java/cypressvalve/host/rtsp/UnreadMessages.java
@@ -5,7 +5,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 
 /**
  * What ends sessions and attempts at a media host, was written to one connection, and is not known to be read: owed again elsewhere once the
@@ -22,7 +21,11 @@
      *
      * @param ending what ends a session that stood; null for an attempt's cancel
      */
-    private record Teardown(String session, long position, OutboundMessage ending) { }
+    private record Teardown(String session, long position, OutboundMessage ending) {
+        private boolean endsSession() {
+            return ending != null;
+        }
+    }
 
     /** Those not known to be read, in the order in which they were written. */
     private final ArrayDeque<Teardown> teardowns = new ArrayDeque<>();
@@ -31,19 +34,20 @@
 
     /** A message that ends a session is written; returns the session whose own is given up for it, or null. */
     String ending(OutboundMessage message, long position) {
-        return written(new Teardown(message.session(), position, message));
+        teardowns.add(new Teardown(message.session(), position, message));
+        return teardowns.stream().filter(Teardown::endsSession).count() > MAX_KEPT ? giveUpOldestEnding() : null;
+    }
+
+    private String giveUpOldestEnding() {
+        Teardown oldest = teardowns.stream().filter(Teardown::endsSession).findFirst().orElseThrow();
+        teardowns.remove(oldest);
+        return oldest.session;
     }
 
     /** An attempt's cancel is written. */
     void cancelled(String session, long position) {
         cancels.put(session, position);
-        written(new Teardown(session, position, null));
-    }
-
-    private String written(Teardown teardown) {
-        teardowns.add(teardown);
-        Teardown givenUp = teardowns.size() > MAX_KEPT ? teardowns.poll() : null;
-        return givenUp == null || givenUp.ending == null ? null : givenUp.session;
+        teardowns.add(new Teardown(session, position, null));
     }
 
     /** The attempt's end is owed, though no cancel is written on this connection any more. */
@@ -54,7 +58,7 @@
     /** The host has read all that was written before that position; returns the sessions whose ends it has read so. */
     List<String> readUpTo(long position) {
         cancels.values().removeIf(cancel -> cancel < position);
-        List<String> ended = teardowns.stream().filter(teardown -> teardown.position < position && teardown.ending != null)
+        List<String> ended = teardowns.stream().filter(teardown -> teardown.position < position && teardown.endsSession())
             .map(Teardown::session).toList();
         teardowns.removeIf(teardown -> teardown.position < position);
         return ended;
@@ -75,7 +79,7 @@
 
     /** What ends sessions and may be unread; it is owed by the caller from now on. */
     List<OutboundMessage> takeEndings() {
-        List<OutboundMessage> owed = teardowns.stream().map(Teardown::ending).filter(Objects::nonNull).toList();
+        List<OutboundMessage> owed = teardowns.stream().filter(Teardown::endsSession).map(Teardown::ending).toList();
         teardowns.clear();
         return owed;
     }
--- a/src/test/java/cypressvalve/host/rtsp/UnreadMessagesTest.java
+++ b/src/test/java/cypressvalve/host/rtsp/UnreadMessagesTest.java
@@ -9,6 +9,8 @@
 import org.junit.jupiter.api.Test;
 
 class UnreadMessagesTest {
+    /** As many ends as are kept. */
+    private static final int MAX_KEPT = 512;
     private final UnreadMessages unread = new UnreadMessages();
 
     private static OutboundMessage end(String session) {
@@ -64,4 +66,15 @@
         assertEquals(List.of(), unread.readUpTo(3 + 1));
         assertEquals(5, unread.acknowledged("aa"));
     }
+
+    /** Guards against the end of a session that is given up, without a word, for the cancel of an attempt. */
+    @Test
+    void ofTooManyEndsTheOldestIsGivenUpAndToldButForCancelsNone() {
+        for (int i = 0; i < MAX_KEPT; i++) {
+            assertNull(unread.ending(end("e" + i), i));
+        }
+        unread.cancelled("aa", MAX_KEPT);
+        assertEquals("e0", unread.ending(end("bb"), MAX_KEPT + 1));
+        assertEquals(MAX_KEPT, takeEndings().size());
+    }
 }
