Soak: media hosts' processes that die and listen again soon, and networks that reset

No trial had a host that comes back under its id; its sessions are never told to their viewers. Counted too: sessions that the gateway ended in vain.

--- a/src/main/java/cypressvalve/cli/SoakCommand.java
+++ b/src/main/java/cypressvalve/cli/SoakCommand.java
@@ -45,6 +45,9 @@
     @Option(names = "--strict-hosts", description = "with --standstill: hosts count a release as said again though the connection had been reset")
     private boolean strictHosts;
 
+    @Option(names = "--restarts", description = "media hosts as with --standstill, whose processes die and listen again soon")
+    private boolean restarts;
+
     @Spec
     private CommandSpec spec;
 
@@ -56,7 +59,7 @@
         }
         long from = Long.parseLong(range.group(1));
         long to = range.group(2) == null ? from : Long.parseLong(range.group(2));
-        if (standstill) {
+        if (standstill || restarts) {
             return playStandstills(from, to);
         }
         int broken = 0;
@@ -81,10 +84,11 @@
                 List<String> violations = outcome.violations();
                 broken += violations.isEmpty() ? 0 : 1;
                 out().println("seed " + seed + ": " + outcome.served() + " of " + outcome.requests() + " served, " + outcome.ends() + " ends, "
-                    + (violations.isEmpty() ? "all told in time" : violations.size() + " not told in time") + "; " + outcome.plan().descriptors()
+                    + (violations.isEmpty() ? "all told in time" : violations.size() + " not told in time") + "; "
+                    + outcome.endedAtRestarted() + " sessions of processes that died and were followed, " + outcome.endedInVain() + " ended in vain; " + outcome.plan().descriptors()
                     + " descriptors, " + outcome.plan().streams() + " set-ups a connection, hosts may " + (outcome.plan().mayTestHosts() ? "" : "not ") + "be tested, "
                     + outcome.plan().killed().size() + " die; crowds of "
-                    + outcome.plan().crowd() + " on " + outcome.plan().corePercent() + "% of a core, " + outcome.plan().habits() + "; "
+                    + outcome.plan().crowd() + " on " + outcome.plan().corePercent() + "% of a core, " + outcome.plan().habits() + ", " + outcome.plan().restarts() + "; "
                     + outcome.closes());
                 violations.forEach(out()::println);
                 if (!violations.isEmpty()) {
@@ -101,6 +105,9 @@
     }
 
     private StandstillPlan standstillPlan(long seed) {
+        if (restarts) {
+            return StandstillPlan.drawRestarts(seed);
+        }
         StandstillPlan plan = crowded ? StandstillPlan.drawCrowded(seed) : StandstillPlan.draw(seed);
         return strictHosts ? plan.withStrictHosts() : plan;
     }
--- a/src/main/java/cypressvalve/soak/LoopMediaHost.java
+++ b/src/main/java/cypressvalve/soak/LoopMediaHost.java
@@ -46,6 +46,9 @@
     private static final int MAX_RESET_MILLIS = 20;
     /** Before the port in the line that says where it listens. */
     static final String LISTENS = "LISTENS ";
+    /** Says that it listens at its port as soon as it is sent a line. */
+    static final String STANDS_BY = "STANDS BY";
+    private static final int HABITS_ARGUMENT = 4;
 
     private record Timer(long atNanos, Runnable task) { }
 
@@ -65,21 +68,45 @@
     private int accepted;
     private boolean lastWasReset;
 
-    private LoopMediaHost(String name, long meanSessionMillis, long seed, HostHabits habits) throws IOException {
+    private LoopMediaHost(String name, long meanSessionMillis, long seed, int port, HostHabits habits) throws IOException {
         this.name = name;
         this.habits = habits;
         this.meanSessionMillis = meanSessionMillis;
         chance = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
-        server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), BACKLOG);
+        if (port != 0) {
+            story.println(STANDS_BY);
+            System.in.read();
+        }
+        server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+        server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), BACKLOG);
         server.configureBlocking(false);
         server.register(selector, SelectionKey.OP_ACCEPT);
         story.println(LISTENS + ((InetSocketAddress) server.getLocalAddress()).getPort());
+        resetByNetworkLater();
     }
 
-    /** Arguments: name, mean length of sessions in milliseconds, seed, and the three of {@link HostHabits}. Runs until it is killed, or who started it has ended. */
+    /**
+     * Arguments: name, mean length of sessions in milliseconds, seed, port, and those of {@link HostHabits}. With a port other than 0 it
+     * listens once it is sent a line. Runs until it is killed, or who started it has ended.
+     */
     public static void main(String[] arguments) throws IOException {
-        new LoopMediaHost(arguments[0], Long.parseLong(arguments[1]), Long.parseLong(arguments[2]),
-            new HostHabits(Integer.parseInt(arguments[3]), Integer.parseInt(arguments[4]), Boolean.parseBoolean(arguments[5]))).run();
+        new LoopMediaHost(arguments[0], Long.parseLong(arguments[1]), Long.parseLong(arguments[2]), Integer.parseInt(arguments[3]),
+            HostHabits.parse(arguments, HABITS_ARGUMENT)).run();
+    }
+
+    private void resetByNetworkLater() {
+        int mean = habits.networkResets().meanMillis();
+        if (mean > 0) {
+            after((long) (-Math.log(1 - chance.nextDouble()) * mean), () -> {
+                List<Connection> open = List.copyOf(connections);
+                if (habits.networkResets().ofAll()) {
+                    open.forEach(Connection::reset);
+                } else if (!open.isEmpty()) {
+                    open.get(chance.nextInt(open.size())).reset();
+                }
+                resetByNetworkLater();
+            });
+        }
     }
 
     private void run() throws IOException {
@@ -195,6 +222,7 @@
             gatewayPort = channel.socket().getPort();
             channel.configureBlocking(false);
             channel.socket().setTcpNoDelay(true);
+            channel.setOption(StandardSocketOptions.SO_LINGER, 0); // The process's death resets it.
             channel.register(selector, SelectionKey.OP_READ, this);
         }
 
@@ -265,15 +293,19 @@
         }
 
         private void reset() {
+            end("reset");
+        }
+
+        private void close(String why) {
             try {
-                channel.setOption(StandardSocketOptions.SO_LINGER, 0);
+                channel.setOption(StandardSocketOptions.SO_LINGER, -1);
             } catch (IOException e) {
-                note("-", describe() + " can't be reset: " + e.getMessage());
+                note("-", describe() + " can't be ended in order: " + e.getMessage());
             }
-            close("reset");
+            end(why);
         }
 
-        private void close(String why) {
+        private void end(String why) {
             if (open) {
                 open = false;
                 note("-", describe() + " closed: " + why);
--- a/src/main/java/cypressvalve/soak/MediaHostProcess.java
+++ b/src/main/java/cypressvalve/soak/MediaHostProcess.java
@@ -17,15 +17,20 @@
     /** Kind of a line that is only read beside a broken rule. */
     static final String NOTE = "NOTE";
     private static final int FIELDS = 4;
-    private static final String DIED = "its process died";
+    static final String DIED = "its process died";
     private static final Set<Event.Kind> ENDS = Set.of(Event.Kind.SESSION_RELEASED, Event.Kind.SESSION_OVER, Event.Kind.SESSION_ENDED_BY_GATEWAY);
 
     private final String name;
     private final EventRecord record;
     private final SignalSender signals;
-    private final Process process;
-    private final InetSocketAddress address;
-    private final Thread reader;
+    private final long meanSessionMillis;
+    private final HostHabits habits;
+    private long seed;
+    private Process process;
+    private InetSocketAddress address;
+    private Thread reader;
+    /** The process that takes the place of one that dies; null where none stands by. */
+    private Process successor;
     private final Set<String> standing = new HashSet<>();
     private final List<String> notes = new ArrayList<>();
     private boolean stopped;
@@ -39,16 +44,32 @@
     MediaHostProcess(String name, long meanSessionMillis, long seed, HostHabits habits, EventRecord record, SignalSender signals)
         throws IOException {
         this.name = name;
+        this.meanSessionMillis = meanSessionMillis;
+        this.seed = seed;
+        this.habits = habits;
         this.record = record;
         this.signals = signals;
-        process = ChildProcesses.start(new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx24m",
+        follow(started(0));
+    }
+
+    private Process started(int port) throws IOException {
+        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx24m",
             "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Djava.net.preferIPv4Stack=true", "-cp", System.getProperty("java.class.path"),
-            LoopMediaHost.class.getName(), name, String.valueOf(meanSessionMillis), String.valueOf(seed),
-            String.valueOf(habits.latePercent()), String.valueOf(habits.resetPercent()), String.valueOf(habits.countsFailedRepeats())).redirectErrorStream(true));
-        BufferedReader in = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
+            LoopMediaHost.class.getName(), name, String.valueOf(meanSessionMillis), String.valueOf(seed++), String.valueOf(port)));
+        command.addAll(List.of(habits.arguments()));
+        return ChildProcesses.start(new ProcessBuilder(command).redirectErrorStream(true));
+    }
+
+    /** Returns once it listens. */
+    private void follow(Process started) throws IOException {
+        process = started;
+        BufferedReader in = new BufferedReader(new InputStreamReader(started.getInputStream(), StandardCharsets.UTF_8));
         String first = in.readLine();
+        if (LoopMediaHost.STANDS_BY.equals(first)) {
+            first = in.readLine();
+        }
         if (first == null || !first.startsWith(LoopMediaHost.LISTENS)) {
-            process.destroyForcibly();
+            started.destroyForcibly();
             throw new IOException("the media host does not listen: " + first);
         }
         address = new InetSocketAddress(InetAddress.getLoopbackAddress(), Integer.parseInt(first.substring(LoopMediaHost.LISTENS.length())));
@@ -57,6 +78,20 @@
         reader.start();
     }
 
+    /** Starts the process that is to take the place of the one that runs: it does not listen yet. */
+    void prepareSuccessor() throws IOException {
+        successor = started(address.getPort());
+    }
+
+    /** The process that stands by listens at the address of the one that has died; it knows nothing of its sessions. */
+    void startSuccessor() throws IOException {
+        Process next = successor;
+        successor = null;
+        next.getOutputStream().write('\n');
+        next.getOutputStream().flush();
+        follow(next);
+    }
+
     private void read(BufferedReader in) {
         try {
             for (String line = in.readLine(); line != null; line = in.readLine()) {
@@ -128,5 +163,8 @@
     public void close() throws InterruptedException {
         process.destroyForcibly();
         process.waitFor();
+        if (successor != null) {
+            successor.destroyForcibly();
+        }
     }
 }
--- a/src/main/java/cypressvalve/soak/StandstillPlan.java
+++ b/src/main/java/cypressvalve/soak/StandstillPlan.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
+import java.util.stream.Collectors;
 
 /**
  * A trial of one gateway whose media hosts are processes that are stopped and go on, drawn from one seed. Ranges are the pages', or what a
@@ -18,9 +20,11 @@
  * @param crowd clients that come at a time
  * @param corePercent hundredths of a core that the gateway gets
  * @param habits how the hosts take connections
+ * @param restarts of media hosts, and what comes beside them
  */
 public record StandstillPlan(long seed, int descriptors, int streams, boolean mayTestHosts, int hosts, List<Stop> stops,
-    List<Integer> crowdsAtMillis, List<Integer> killed, int killedAtMillis, int crowd, int corePercent, HostHabits habits) {
+    List<Integer> crowdsAtMillis, List<Integer> killed, int killedAtMillis, int crowd, int corePercent, HostHabits habits,
+    HostRestarts restarts) {
     /** How long clients send. */
     static final int LENGTH_MILLIS = 22_000;
     /** The list tells so much later that hosts have gone. */
@@ -34,6 +38,9 @@
     private static final int LATE_PERCENT = 30;
     private static final int RESET_PERCENT = 5;
     private static final long CROWDED_SALT = 0x5eed_c0de_5eed_c0deL;
+    private static final long RESTARTS_SALT = 0x0dd5_eed5_0dd5_eed5L;
+    private static final int MIN_NETWORK_RESET_MILLIS = 330;
+    private static final int MAX_NETWORK_RESET_MILLIS = 3_000;
     static final int CROWD_MILLIS = 400;
     private static final int HOSTS = 13;
     private static final int STOPPED_AT_A_TIME = 3;
@@ -89,13 +96,31 @@
             crowds.add(killedAt + COME_AGAIN_MILLIS);
         }
         return new StandstillPlan(seed, descriptors, streams, mayTestHosts, HOSTS, stops, crowds, killed, killedAt, USUAL_CROWD,
-            WHOLE_CORE_PERCENT, HostHabits.USUAL);
+            WHOLE_CORE_PERCENT, HostHabits.USUAL, HostRestarts.NONE);
+    }
+
+    /**
+     * The plan of a seed whose hosts' processes die and listen again soon. In parts of the seeds the network resets connections, hosts stand
+     * still, crowds come, and the gateway is on part of a core.
+     */
+    public static StandstillPlan drawRestarts(long seed) {
+        StandstillPlan plan = draw(seed);
+        RandomGenerator chance = RandomGeneratorFactory.of("L64X128MixRandom").create(seed ^ RESTARTS_SALT);
+        HostRestarts restarts = HostRestarts.draw(chance, KILLED, HOSTS);
+        int core = chance.nextInt(3) == 0 ? chance.nextInt(MIN_CORE_PERCENT, MAX_CORE_PERCENT) : WHOLE_CORE_PERCENT;
+        int resetMillis = chance.nextBoolean() ? chance.nextInt(MIN_NETWORK_RESET_MILLIS, MAX_NETWORK_RESET_MILLIS) : 0;
+        HostHabits habits = new HostHabits(0, 0, false, new HostHabits.NetworkResets(resetMillis, chance.nextBoolean()));
+        Set<Integer> struck = restarts.restarts().stream().map(HostRestarts.Restart::host).collect(Collectors.toSet());
+        List<Stop> stops = chance.nextInt(3) > 0 ? List.of() : plan.stops.stream().filter(stop -> !struck.contains(stop.host())).toList();
+        List<Integer> crowds = chance.nextInt(3) > 0 ? List.of() : plan.crowdsAtMillis;
+        return new StandstillPlan(seed, plan.descriptors, plan.streams, plan.mayTestHosts, plan.hosts, stops, crowds, plan.killed,
+            plan.killedAtMillis, plan.crowd, core, habits, restarts);
     }
 
     /** The same with hosts that count a repeat as said though the connection had been reset. */
     public StandstillPlan withStrictHosts() {
         return new StandstillPlan(seed, descriptors, streams, mayTestHosts, hosts, stops, crowdsAtMillis, killed, killedAtMillis, crowd, corePercent,
-            new HostHabits(habits.latePercent(), habits.resetPercent(), true));
+            new HostHabits(habits.latePercent(), habits.resetPercent(), true, habits.networkResets()), restarts);
     }
 
     /** The plan of a seed with larger crowds, for three of four seeds on part of a core, and with hosts that take connections late or reset new ones. */
@@ -105,11 +130,11 @@
         int crowd = chance.nextInt(USUAL_CROWD, MAX_CROWD);
         int core = chance.nextInt(4) > 0 ? chance.nextInt(MIN_CORE_PERCENT, MAX_CORE_PERCENT) : WHOLE_CORE_PERCENT;
         HostHabits habits = switch (chance.nextInt(3)) {
-            case 0 -> new HostHabits(LATE_PERCENT, 0, false);
-            case 1 -> new HostHabits(0, RESET_PERCENT, false);
+            case 0 -> new HostHabits(LATE_PERCENT, 0, false, HostHabits.NetworkResets.NONE);
+            case 1 -> new HostHabits(0, RESET_PERCENT, false, HostHabits.NetworkResets.NONE);
             default -> HostHabits.USUAL;
         };
         return new StandstillPlan(seed, plan.descriptors, plan.streams, plan.mayTestHosts, plan.hosts, plan.stops, plan.crowdsAtMillis, plan.killed,
-            plan.killedAtMillis, crowd, core, habits);
+            plan.killedAtMillis, crowd, core, habits, plan.restarts);
     }
 }
--- a/src/main/java/cypressvalve/soak/StandstillTrial.java
+++ b/src/main/java/cypressvalve/soak/StandstillTrial.java
@@ -8,12 +8,15 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /**
  * Plays one {@link StandstillPlan}: hundreds of sessions stand at media hosts that are stopped and go on, while usual clients and crowds ask
@@ -21,7 +24,6 @@
  */
 public final class StandstillTrial implements AutoCloseable {
     private static final int CLIENTS = 10;
-    private static final double REQUESTS_PER_SECOND = 60;
     private static final long MEAN_SESSION_MILLIS = 12_000;
     private static final int PATIENCE_MILLIS = 3_000;
     private static final int AIM_MILLIS = 1_500;
@@ -42,10 +44,13 @@
      *
      * @param violations sessions whose ends were not told in time, each with its story
      * @param ends of sessions that clients were owed
+     * @param endedAtRestarted of those, the ones that were over with their host's process, which another one followed
+     * @param endedInVain sessions that stood and that the gateway ended though their clients had not
      * @param closes how often the gateway closed a connection to a media host for each reason, as it logs them
      * @param counts the gateway's lines of counts
      */
-    public record Outcome(StandstillPlan plan, List<String> violations, long requests, long served, int ends, Map<String, Integer> closes,
+    public record Outcome(StandstillPlan plan, List<String> violations, long requests, long served, int ends, long endedAtRestarted,
+        long endedInVain, Map<String, Integer> closes,
         List<String> counts) { }
 
     private record Action(long atNanos, Task task) implements Comparable<Action> {
@@ -149,6 +154,11 @@
             at(begin, plan.killedAtMillis() + StandstillPlan.GONE_TOLD_MILLIS,
                 () -> coordinator.publish(hosts.get(number).name(), hosts.get(number).address(), number, "DELETED", 0));
         }
+        plan.restarts().restarts().forEach(restart -> schedule(begin, restart));
+        for (HostRestarts.GatewayStop stop : plan.restarts().gatewayStops()) {
+            at(begin, stop.atMillis(), () -> gateway.suspend());
+            at(begin, stop.atMillis() + stop.lengthMillis(), () -> gateway.resume());
+        }
         for (int crowd : plan.crowdsAtMillis()) {
             for (int i = 0; i < plan.crowd(); i++) {
                 at(begin, crowd + chance.nextInt(StandstillPlan.CROWD_MILLIS), this::ask);
@@ -157,11 +167,25 @@
         askOnUntil(begin, begin + TimeUnit.MILLISECONDS.toNanos(StandstillPlan.LENGTH_MILLIS));
     }
 
+    private void schedule(long begin, HostRestarts.Restart restart) {
+        MediaHostProcess host = hosts.get(restart.host());
+        at(begin, restart.atMillis() - HostRestarts.STANDS_BY_MILLIS, host::prepareSuccessor);
+        if (restart.drained()) {
+            at(begin, restart.atMillis() - HostRestarts.STANDS_BY_MILLIS,
+                () -> coordinator.publish(host.name(), host.address(), restart.host(), "DRAINING", 0));
+        }
+        if (restart.stoppedMillis() > 0) {
+            at(begin, restart.atMillis() - restart.stoppedMillis(), host::suspend);
+        }
+        at(begin, restart.atMillis(), host::kill);
+        at(begin, restart.atMillis() + restart.downMillis(), host::startSuccessor);
+    }
+
     private void askOnUntil(long atNanos, long untilNanos) {
         if (atNanos < untilNanos) {
             actions.add(new Action(atNanos, () -> {
                 ask();
-                askOnUntil(atNanos + (long) (-Math.log(1 - chance.nextDouble()) / REQUESTS_PER_SECOND * NANOS_PER_SECOND), untilNanos);
+                askOnUntil(atNanos + (long) (-Math.log(1 - chance.nextDouble()) / plan.restarts().requestsPerSecond() * NANOS_PER_SECOND), untilNanos);
             }));
         }
     }
@@ -183,7 +207,24 @@
             violations.add(story(untold));
         }
         return new Outcome(plan, violations, record.count(Event.Kind.REQUEST_SENT), record.count(Event.Kind.ANSWER_SERVED), checker.judged(),
-            closes(), gateway.log(COUNTS));
+            endedAtRestarted(events), endedInVain(events), closes(), gateway.log(COUNTS));
+    }
+
+    private long endedAtRestarted(List<Event> events) {
+        Set<String> restarted = plan.restarts().restarts().stream().map(restart -> hosts.get(restart.host()).name()).collect(Collectors.toSet());
+        return events.stream().filter(event -> event.kind() == Event.Kind.SESSION_OVER && event.detail().equals(MediaHostProcess.DIED)
+            && restarted.contains(event.party())).count();
+    }
+
+    private static long endedInVain(List<Event> events) {
+        Set<String> served = requests(events.stream().filter(event -> event.kind() == Event.Kind.ANSWER_SERVED));
+        Set<String> endedByClients = requests(events.stream().filter(SessionChecker::endsSession));
+        return events.stream().filter(event -> event.kind() == Event.Kind.SESSION_ENDED_BY_GATEWAY && served.contains(event.request())
+            && !endedByClients.contains(event.request())).count();
+    }
+
+    private static Set<String> requests(Stream<Event> events) {
+        return events.map(Event::request).collect(Collectors.toSet());
     }
 
     private Map<String, Integer> closes() {
