Sessions of a process that died are ended though another listens at its address soon

Cause: a host counted as lost only after three tries in a row that fail, 0.6 s and more, and one that comes up erased them; a refusal, which proves that no process listens, was thrown away, and nothing was asked again later. Change: ProcessContinuity decides. A refusal while no connection is up is the death. Where the last connections ended at the host's side, or in its silence, and the next came up later than a process needs to start, where it was out of reach, or where it speaks on new connections alone, sessions of before are in doubt: a word of one of them or on an older connection settles that; else they are released on both sides 7 s after the process was known last. What has been read proves nothing later than the poll before (PollCycles.seenUntil). Events HOST_DOUBTED, HOST_PROVEN, HOST_REPLACED.

--- a/src/main/java/cypressvalve/diagnostics/EventKind.java
+++ b/src/main/java/cypressvalve/diagnostics/EventKind.java
@@ -58,8 +58,14 @@
     HOST_UNREADABLE,
     /** A media host that carries sessions is tested, as it has said nothing for long. */
     HOST_TESTED,
-    /** A media host counts as lost with all that it carried. */
+    /** A media host counts as lost with all that it carried; the detail says why. */
     HOST_LOST,
+    /** It is not known whether a media host's process is still the one that carries its sessions; the detail says why and since when. */
+    HOST_DOUBTED,
+    /** What was in doubt is the same process; the detail says what has shown it. */
+    HOST_PROVEN,
+    /** Another process has taken the place of the one that carried sessions, or the doubt was not settled in time; the detail says which. */
+    HOST_REPLACED,
     /** Something that concerns discovery; the detail says what. */
     DISCOVERY,
     /** A state of the process: signals, phases of shutdown. */
--- a/src/main/java/cypressvalve/host/HostClient.java
+++ b/src/main/java/cypressvalve/host/HostClient.java
@@ -71,6 +71,18 @@
 
         /** The host is lost and all that it carried for this gateway with it. */
         void lost(long host);
+
+        /** System.nanoTime() when a session began that is held here as playing at that host; Long.MAX_VALUE if none is. */
+        default long begunAt(long host, String session) {
+            return Long.MAX_VALUE;
+        }
+
+        /**
+         * Another process has taken the place of the one that carried the host's sessions, or that is not known in time.
+         *
+         * @param boundary System.nanoTime(): what began before is over
+         */
+        default void replaced(long host, long boundary) { }
     }
 
     /** Out on its way; can be taken back. */
--- a/src/main/java/cypressvalve/host/rtsp/CloseReason.java
+++ b/src/main/java/cypressvalve/host/rtsp/CloseReason.java
@@ -6,8 +6,10 @@
 
 /** Why a connection to a media host is given up. */
 enum CloseReason {
-    /** It was refused, which proves that nobody has taken it. */
+    /** It was refused, which proves that nobody has taken it, and that no process listened. */
     REFUSED("refused"),
+    /** There was no way to its host, which proves that nobody has taken it. */
+    NO_ROUTE("no route"),
     /** It was not up in time when the sockets were polled; it may come up just then. */
     NOT_UP_IN_TIME("not up in time"),
     /** It came up and ended, or was given up on its way, before it was seen to be up. */
@@ -43,8 +45,15 @@
 
     /** The reason for a connection whose opening failed with that exception. */
     static CloseReason ofFailedConnect(IOException why) {
-        boolean neverTaken = why instanceof ConnectException || why instanceof NoRouteToHostException;
-        return neverTaken ? REFUSED : ENDED_UNSEEN;
+        if (why instanceof ConnectException) {
+            return REFUSED;
+        }
+        return why instanceof NoRouteToHostException ? NO_ROUTE : ENDED_UNSEEN;
+    }
+
+    /** Whether the host can't have taken the connection. */
+    boolean neverTaken() {
+        return this == REFUSED || this == NO_ROUTE;
     }
 
     @Override
--- a/src/main/java/cypressvalve/host/rtsp/ConnectionLife.java
+++ b/src/main/java/cypressvalve/host/rtsp/ConnectionLife.java
@@ -29,6 +29,8 @@
     private long heardAt = NEVER;
     private long usedAt;
     private long lifeTestedAt = NEVER;
+    /** When the first of what the host has to answer was written, since it was heard last. */
+    private long unansweredSince = NEVER;
     /** When it was half-closed as of no more use; NEVER where its end was only asked for as a proof. */
     private long givenUpAt = NEVER;
     /** When the host's process had surely seen to its connections since. */
@@ -53,6 +55,22 @@
     void heard(long now) {
         heardAt = now;
         usedAt = now;
+        unansweredSince = NEVER;
+    }
+
+    /** Something was written that the host has to answer. */
+    void asked(long now) {
+        unansweredSince = unansweredSince == NEVER ? now : unansweredSince;
+    }
+
+    /** Whether the host owes an answer here and has said nothing for so long. */
+    boolean unansweredFor(long nanos, long now) {
+        return unansweredSince != NEVER && now - unansweredSince >= nanos;
+    }
+
+    /** Whether it is up: it came up, and has not been closed. */
+    boolean isUp() {
+        return hasComeUp() && !isClosed();
     }
 
     /** Something was written to it. */
--- a/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
+++ b/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
@@ -80,6 +80,11 @@
     private static final int MAX_SILENT_CONNECTIONS = 2;
     /** The same, however short the while: a host that lives takes some of so many in a crowd. */
     private static final int MAX_UNACCEPTED_CONNECTIONS = 8;
+    /** A host that runs answers within this. */
+    private static final long UNANSWERED = 1_000_000_000L;
+    /** Connections on which a host says nothing are tested once it has had a newer one for so long on which it speaks. */
+    private static final long SILENT_BESIDE_NEW = 2_000_000_000L;
+    private static final String DIED = "refused, and no connection is up: its process has died";
     /** Where something plays, a connection that came up is kept for so long: its host says on it what ended without one. */
     private static final long LISTENED_AT_LEAST = 250_000_000L;
 
@@ -324,6 +329,7 @@
         ConnectionPool pool = pool(host);
         pool.followed = on;
         pool.lifeline = new Lifeline(System.nanoTime(), limits.connectTimeout());
+        pool.continuity = new ProcessContinuity(System.nanoTime());
         if (on) {
             pool.checkLiveness();
         }
@@ -602,6 +608,7 @@
         private boolean gone;
         private long goneAt;
         private Lifeline lifeline = new Lifeline(System.nanoTime(), limits.connectTimeout());
+        private ProcessContinuity continuity = new ProcessContinuity(System.nanoTime());
         /** When something came from the host last, on any connection. */
         private long heardAt = NEVER;
         /** When a connection came up last. */
@@ -808,19 +815,106 @@
         }
 
         private void lost() {
+            lost(gone ? "gone from the list" : "unreachable");
+        }
+
+        private void lost(String why) {
             followed = false;
             if (gone) {
                 passOnWaiting();
             }
             lifeline = new Lifeline(System.nanoTime(), limits.connectTimeout());
-            events.record(EventKind.HOST_LOST, null, EventLog.NONE, address.id(), gone ? "gone from the list" : "unreachable");
+            continuity = new ProcessContinuity(System.nanoTime());
+            events.record(EventKind.HOST_LOST, null, EventLog.NONE, address.id(), why);
             notes.lost(address.id());
         }
 
+        private boolean isConnected() {
+            return connections.stream().anyMatch(connection -> connection.life.isUp());
+        }
+
+        private void doubted(ProcessContinuity.Doubt doubt) {
+            events.record(EventKind.HOST_DOUBTED, null, EventLog.NONE, address.id(), describe(doubt));
+        }
+
+        private String describe(ProcessContinuity.Doubt doubt) {
+            return doubt.cause() + "; last known to be there " + TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - doubt.since()) + " ms ago";
+        }
+
+        private void proven(boolean settled, String how) {
+            if (settled) {
+                events.record(EventKind.HOST_PROVEN, null, EventLog.NONE, address.id(), how);
+            }
+        }
+
+        /** A connection that was up has ended at the host's side. */
+        private void endedByHost() {
+            if (followed && !gone && !isConnected() && continuity.lastEndedByHost(polls.seenUntil(), System.nanoTime())) {
+                lost(DIED);
+            }
+        }
+
+        /** A connection that was up was closed at this side. */
+        private void closedHere(boolean unanswered) {
+            if (unanswered && !isConnected()) {
+                continuity.lastClosedInSilence();
+            }
+        }
+
+        /** Something of a session was read. */
+        private void spokeOfSession(String session) {
+            if (continuity.inDoubt()) {
+                proven(continuity.spokeOfSession(notes.begunAt(address.id(), session), System.nanoTime()), "it spoke of a session of before");
+            }
+        }
+
+        /** Ends what was carried by a process that is not known to be there any more, in time for its viewers. */
+        private void decideDoubts(long now) {
+            if (!gone) {
+                doubtSilentOnes(now);
+            }
+            continuity.decide(now, this::isConnectedSinceBefore).ifPresent(doubt -> {
+                events.record(EventKind.HOST_REPLACED, null, EventLog.NONE, address.id(), describe(doubt));
+                notes.replaced(address.id(), doubt.boundary());
+            });
+        }
+
+        private boolean isConnectedSinceBefore(long time) {
+            return connections.stream().anyMatch(connection -> connection.life.isUp() && connection.life.upAt() < time);
+        }
+
+        /** Where the host speaks on a connection and on none that came up before, those are tested, and in doubt if they stay silent. */
+        private void doubtSilentOnes(long now) {
+            List<HostConnection> older = new ArrayList<>();
+            for (HostConnection connection : connections.stream().filter(candidate -> candidate.life.isUp())
+                .sorted(Comparator.comparingLong(candidate -> candidate.life.upAt())).toList()) {
+                long upAt = connection.life.upAt();
+                boolean olderSilent = !older.isEmpty() && older.stream().allMatch(candidate -> candidate.life.silentSince(upAt));
+                if (olderSilent && connection.life.isAccepted()) {
+                    doubtSilentOnes(older, upAt, now);
+                    return;
+                }
+                older.add(connection);
+            }
+        }
+
+        private void doubtSilentOnes(List<HostConnection> older, long boundary, long now) {
+            if (older.stream().anyMatch(connection -> connection.life.unansweredFor(UNANSWERED, now)) && now - boundary >= UNANSWERED) {
+                long since = older.stream().mapToLong(connection -> connection.life.reachedAt()).max().orElse(now);
+                continuity.oldOnesAreSilent(since, boundary, now).ifPresent(this::doubted);
+            } else if (mayTest && now - boundary >= SILENT_BESIDE_NEW) {
+                older.stream().filter(HostConnection::mayBeTested).reduce((first, last) -> last).ifPresent(connection -> {
+                    connection.note(EventKind.HOST_TESTED, "silent, a newer one is not");
+                    connection.sendProbe(null, "ping");
+                });
+            }
+        }
+
         private void sweep() {
             long now = System.nanoTime();
             if (followed) {
                 checkLiveness();
+                decideDoubts(now);
                 reopen();
             } else if (gone && !outbound.isEmpty()) {
                 seeToWaitingOfGone(now);
@@ -899,13 +993,18 @@
                 IoUtils.safeClose(channel);
                 return;
             }
+            boolean connected = pool.isConnected();
             life.cameUp(System.nanoTime());
             longestConnect = Math.max(longestConnect, life.upAt() - life.begunAt());
             pool.connectedAt = life.upAt();
             note(EventKind.HOST_CONNECTED, null);
             duplex = new Duplex(channel, buffer, MAX_QUEUED_BYTES, queuedTogether, this);
             duplex.start();
+            boolean unanswered = pool.connections.stream().anyMatch(candidate -> candidate.life.unansweredFor(UNANSWERED, life.upAt()));
             pool.lifeline.connected(System.nanoTime());
+            if (pool.followed && !pool.gone) {
+                pool.continuity.cameUp(life.begunAt(), life.upAt(), connected).ifPresent(pool::doubted);
+            }
             pool.repeats.connected(life.begunAt());
             pool.outbound.connected();
             while (!pool.outbound.isEmpty()) {
@@ -913,12 +1012,17 @@
             }
             waiting.forEach(this::write);
             waiting.clear();
-            if (!attempts.isEmpty()) {
+            if (!attempts.isEmpty() || mayTest && pool.followed && (unanswered || pool.continuity.inDoubt())) {
                 testLife();
             }
             pool.reopen();
         }
 
+        /** Whether a test on it would show something that is not being shown already. */
+        private boolean mayBeTested() {
+            return writable() && life.state() == ConnectionLife.State.UP && !life.unansweredFor(0, System.nanoTime());
+        }
+
         /**
          * Where the host may not be tested, the first attempt is the test: as long as it is alone on the connection, that can be reset
          * once its request has ended.
@@ -959,7 +1063,7 @@
             }
             life.close();
             noteClosed(why);
-            if (why != CloseReason.REFUSED) {
+            if (!why.neverTaken()) {
                 pool.repeats.ended(System.nanoTime()); // The host may have taken it all the same, and said something on it.
             }
             timer.cancel();
@@ -967,7 +1071,12 @@
             removeFromPool();
             pool.lifeline.unreached(System.nanoTime());
             ended(Verdict.NO_CONNECTION, false);
-            if (pool.followed) {
+            if (pool.followed && !pool.gone && why == CloseReason.REFUSED && pool.continuity.refused(System.nanoTime(), pool.isConnected())) {
+                pool.lost(DIED);
+            } else if (pool.followed) {
+                if (why == CloseReason.NOT_UP_IN_TIME) {
+                    pool.continuity.unreached(System.nanoTime());
+                }
                 pool.checkLiveness();
             } else if (pool.connections.stream().allMatch(connection -> connection.life.isRetired())) {
                 if (pool.gone) {
@@ -1084,6 +1193,7 @@
             }
             pool.repeats.givenUpInSilence();
             close(CloseReason.CANCEL_UNREAD, duplex::abort);
+            pool.closedHere(true);
             pool.repeats.ended(System.nanoTime());
             oweCancels();
             resendUnread();
@@ -1142,6 +1252,7 @@
         private void sendNow(Attempt attempt) {
             guard.sent(attempt.order.playback(), pool.address.id());
             carriedAttempt = true;
+            life.asked(System.nanoTime());
             attempt.position = proofs.written();
             attempt.sent(attempt.message());
             write(attempt.sent);
@@ -1156,6 +1267,7 @@
                 probes.put(id, probe);
             }
             tests.put(id, new SentTest(proofs.written(), System.nanoTime()));
+            life.asked(System.nanoTime());
             if (life.hasComeUp()) {
                 write(message);
             } else {
@@ -1241,6 +1353,7 @@
                 pool.repeats.givenUpInSilence();
             }
             removeFromPool();
+            pool.closedHere(life.unansweredFor(0, System.nanoTime()));
             duplex.closeAndTakeRest(() -> {
                 life.close();
                 if (!duplex.endedByPeer() || duplex.resetByPeer()) {
@@ -1324,6 +1437,7 @@
             boolean lost = life.mayHaveLostWords(duplex.endedByPeer(), duplex.resetByPeer());
             ConnectionLife.State before = life.state();
             close(duplex.endedByPeer() ? CloseReason.BY_HOST : CloseReason.WRITE_QUEUE_FULL, () -> { });
+            boolean endedHereFirst = before == ConnectionLife.State.HALF_CLOSED && !duplex.resetByPeer();
             if (lost) {
                 pool.repeats.ended(System.nanoTime());
             }
@@ -1333,6 +1447,9 @@
             }
             resendUnread();
             ended(Verdict.BROKEN, duplex.endedByPeer());
+            if (duplex.endedByPeer() && !endedHereFirst) {
+                pool.endedByHost();
+            }
             pool.reopen();
         }
 
@@ -1347,6 +1464,7 @@
             life.heard(System.nanoTime());
             pool.heardAt = life.heardAt();
             pool.lifeline.heard(pool.heardAt);
+            pool.proven(pool.continuity.heard(life.upAt(), polls.seenUntil(), pool.heardAt), "it spoke on a connection of before");
             pool.repeats.heard(pool.heardAt, firstWord ? life.upAt() : NEVER);
             if (first) {
                 alive();
--- a/src/main/java/cypressvalve/net/PollCycles.java
+++ b/src/main/java/cypressvalve/net/PollCycles.java
@@ -42,6 +42,7 @@
     private Mark state;
     private long completed;
     private long longestNanos;
+    private long seenUntil;
     private volatile boolean closed;
 
     /** Begins to mark polls; from any thread. */
@@ -49,6 +50,7 @@
         this.thread = thread;
         pipe = pipeOf(thread);
         state = pipe.isPresent() ? Mark.UNKNOWN : Mark.FAILS;
+        seenUntil = System.nanoTime();
         mark().ifPresent(mark -> mark.getWriteSetter().set(channel -> polled(mark)));
         thread.execute(this::arm);
         thread.executeAfter(this::doubtMark, MARK_TRIED_MILLIS, TimeUnit.MILLISECONDS);
@@ -107,6 +109,11 @@
         return completed;
     }
 
+    /** All that had come to the sockets by this time of {@link System#nanoTime} has been seen to; a sampling interval ago where polls are in time. */
+    public long seenUntil() {
+        return seenUntil;
+    }
+
     /** The longest time in milliseconds from when a poll was due to its end, since this was asked for last. */
     public long longestMillis() {
         long longest = longestNanos / NANOS_PER_MILLI;
@@ -130,7 +137,9 @@
         long due = System.nanoTime() + SAMPLE_MILLIS * NANOS_PER_MILLI;
         thread.executeAfter(() -> {
             if (!closed) {
+                long armedAt = System.nanoTime();
                 afterNext(() -> {
+                    seenUntil = armedAt;
                     longestNanos = Math.max(longestNanos, System.nanoTime() - due);
                     sampleLater();
                 });
--- a/src/main/java/cypressvalve/run/LaterNotes.java
+++ b/src/main/java/cypressvalve/run/LaterNotes.java
@@ -39,4 +39,14 @@
     public void lost(long host) {
         core.lost(host);
     }
+
+    @Override
+    public long begunAt(long host, String session) {
+        return core.begunAt(host, session);
+    }
+
+    @Override
+    public void replaced(long host, long boundary) {
+        core.replaced(host, boundary);
+    }
 }
--- a/src/main/java/cypressvalve/session/SessionCore.java
+++ b/src/main/java/cypressvalve/session/SessionCore.java
@@ -29,6 +29,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -659,8 +660,24 @@
     /** What played there is ended there, too, if the host is reached: it may only have been out of reach, or another have its address. */
     @Override
     public void lost(long host) {
+        endLost(host, session -> true);
+    }
+
+    /** What was handed over and not confirmed counts as what was there before. */
+    @Override
+    public void replaced(long host, long boundary) {
+        endLost(host, session -> session.begunAt < boundary || session.claim != null);
+    }
+
+    @Override
+    public long begunAt(long host, String name) {
+        Session session = at(host, name);
+        return session == null ? Long.MAX_VALUE : session.begunAt;
+    }
+
+    private void endLost(long host, Predicate<Session> which) {
         List<Session> lost = sessions.values().stream()
-            .filter(session -> session.state == Session.State.PLAYING && session.host.id() == host).toList();
+            .filter(session -> session.state == Session.State.PLAYING && session.host.id() == host && which.test(session)).toList();
         lost.forEach(session -> client.release(session.host, session.hostSession()));
         lost.forEach(session -> ended(session, Session.End.HOST_LOST, Verdict.BROKEN));
     }
--- a/src/main/java/cypressvalve/soak/StandstillTrial.java
+++ b/src/main/java/cypressvalve/soak/StandstillTrial.java
@@ -74,6 +74,7 @@
     private final RandomGenerator chance;
     private GatewayProcess gateway;
     private long ids;
+    private int connected;
 
     private StandstillTrial(StandstillPlan plan) throws IOException {
         this.plan = plan;
@@ -136,10 +137,23 @@
             .replaceFirst("\"streamsPerConn\":[0-9]+", "\"streamsPerConn\":" + plan.streams()));
         gateway = new GatewayProcess(GATEWAY, config, record, signals);
         for (int i = 0; i < CLIENTS; i++) {
-            clients.add(new ClientEmulator("client-" + i, GATEWAY, gateway.address(), record));
+            clients.add(connect());
         }
     }
 
+    private ClientEmulator connect() throws IOException, InterruptedException {
+        return new ClientEmulator("client-" + connected++, GATEWAY, gateway.address(), record);
+    }
+
+    /** Connected: a gateway may close a connection that carries nothing. */
+    private ClientEmulator anyClient() throws IOException, InterruptedException {
+        int number = chance.nextInt(clients.size());
+        if (clients.get(number).ended()) {
+            clients.set(number, connect());
+        }
+        return clients.get(number);
+    }
+
     private void at(long begin, long millis, Task task) {
         actions.add(new Action(begin + TimeUnit.MILLISECONDS.toNanos(millis), task));
     }
@@ -190,12 +204,16 @@
         }
     }
 
-    private void ask() throws IOException {
-        ClientEmulator client = clients.get(chance.nextInt(clients.size()));
+    private void ask() throws IOException, InterruptedException {
+        ClientEmulator client = anyClient();
         long id = ++ids;
         client.send(new ClientEmulator.SetUp(id, "a", "t", "abcdef", PATIENCE_MILLIS, plan.hosts()));
         if (chance.nextDouble() < CANCELS) {
-            at(System.nanoTime(), chance.nextInt(1, MAX_CANCEL_MILLIS), () -> client.cancel(id));
+            at(System.nanoTime(), chance.nextInt(1, MAX_CANCEL_MILLIS), () -> {
+                if (!client.ended()) {
+                    client.cancel(id);
+                }
+            });
         }
     }
 
