A process that can tell no client of ends does not stay for the sessions that play

Cause: clients' connections are closed 0.7 s before the earliest kill, as clients go on sending until then; the process stayed 2.7 s more for sessions that play, of whose ends it could tell nobody. Change: once no client is connected and none comes any more, sessions do not keep the process; connections to hosts are closed where nothing is owed to them, and what hosts say until the end is left to the next process, unacknowledged.

--- a/src/main/java/cypressvalve/host/rtsp/CloseReason.java
+++ b/src/main/java/cypressvalve/host/rtsp/CloseReason.java
@@ -22,6 +22,8 @@
     ROOM("room for another host"),
     /** It has carried nothing for long. */
     IDLE("idle"),
+    /** The process ends, and can tell nobody of what the host says. */
+    SHUTDOWN("shutdown"),
     /** It was of no more use. */
     RETIRED("retired"),
     /** The decisions give back what is idle. */
--- a/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
+++ b/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
@@ -116,6 +116,8 @@
     /** By host, as long as it has connections or is followed. */
     private final Map<Long, ConnectionPool> pools = new LinkedHashMap<>();
     private long probes;
+    /** Whether anybody can be told of what hosts say. */
+    private boolean listening = true;
     private boolean closed;
 
     /**
@@ -181,6 +183,18 @@
         return Stream.concat(pools.values().stream(), replaced.stream()).anyMatch(pool -> !pool.gone && pool.outbound.owesEndings());
     }
 
+    /**
+     * Nobody can be told of ends any more. Connections are closed once nothing is owed to their hosts on them, so that these say what ends from
+     * now on to whoever comes next; what is read until then is not acknowledged.
+     */
+    public void stopListening() {
+        listening = false;
+        for (ConnectionPool pool : List.copyOf(pools.values())) {
+            pool.followed = false;
+            List.copyOf(pool.connections).forEach(HostConnection::closeIfNothingIsOwed);
+        }
+    }
+
     /** For the log: how many may be held, how long one took to come up at most, and why they were given up since this was asked for last. */
     public String connectionsLine() {
         String line = "of " + budget.maxConnections() + " up within " + TimeUnit.NANOSECONDS.toMillis(longestConnect) + " ms closes " + closes;
@@ -925,6 +939,9 @@
             for (HostConnection connection : List.copyOf(connections)) {
                 connection.history.expire(now);
                 connection.endIfOfNoUse(now);
+                if (!listening) {
+                    connection.closeIfNothingIsOwed();
+                }
             }
             if (connections.isEmpty()) {
                 replaced.remove(this);
@@ -1394,6 +1411,12 @@
             duplex.write(message);
         }
 
+        private void closeIfNothingIsOwed() {
+            if (life.isUp() && attempts.isEmpty() && !unread.owesEnds() && duplex.flushed()) {
+                close(CloseReason.SHUTDOWN, this::closeChannel);
+            }
+        }
+
         private void closeChannel() {
             life.close();
             if (duplex != null) {
@@ -1681,8 +1704,13 @@
 
         private void received(Rtsp message) {
             long host = pool.address.id();
+            pool.spokeOfSession(message.session());
             switch (message.method()) {
                 case "TEARDOWN" -> {
+                    if (!listening) {
+                        noteRelease(message.session(), "left to the next process");
+                        return;
+                    }
                     write(Rtsp.response(200, "OK", Math.max(0, message.sequence()), message.session()));
                     if (!history.mayConcernOneBefore(message.session())) {
                         cancelRead(message.session());
--- a/src/main/java/cypressvalve/host/rtsp/UnreadMessages.java
+++ b/src/main/java/cypressvalve/host/rtsp/UnreadMessages.java
@@ -55,6 +55,11 @@
         cancels.put(session, position);
     }
 
+    /** Whether the end of a session or an attempt may be unread. */
+    boolean owesEnds() {
+        return !cancels.isEmpty() || teardowns.stream().anyMatch(Teardown::endsSession);
+    }
+
     /** The host has read all that was written before that position; returns the sessions whose ends it has read so. */
     List<String> readUpTo(long position) {
         cancels.values().removeIf(cancel -> cancel < position);
--- a/src/main/java/cypressvalve/run/PlatformNode.java
+++ b/src/main/java/cypressvalve/run/PlatformNode.java
@@ -302,9 +302,12 @@
             if (shutdown.closesUnused(since, late)) {
                 front.closeIdle(since >= shutdown.closesAfter());
             }
-            boolean busy = core.held(Session.State.OPENING) > 0 || core.held(Session.State.PLAYING) > 0 || !front.flushed()
-                || client.owesEndings();
-            if (shutdown.mayEnd(since, busy, front.connections())) {
+            boolean tellsNobody = shutdown.tellsNobody(since, front.connections());
+            if (tellsNobody) {
+                client.stopListening();
+            }
+            boolean busy = core.held(Session.State.OPENING) > 0 || !tellsNobody && !front.flushed() || client.owesEndings();
+            if (shutdown.mayEnd(since, busy, core.held(Session.State.PLAYING) > 0, front.connections())) {
                 lastWords(done);
             } else {
                 drained(begun, done);
--- a/src/main/java/cypressvalve/run/ShutdownSchedule.java
+++ b/src/main/java/cypressvalve/run/ShutdownSchedule.java
@@ -9,7 +9,7 @@
  * @param answersBy by then every request that is open has its final answer
  * @param closesUnusedAfter connections with neither an open request nor a session are closed from then on: what a client sent
  *     just before the kill would have no answer, while what crosses a close it sends again elsewhere
- * @param closesAfter all connections without an open request are, as what ends the sessions on them can hardly be told any more
+ * @param closesAfter all connections without an open request are, as their clients go on sending until the kill
  * @param earliestKill the soonest that the platform sends SIGKILL
  * @param endsBy the process ends by then, whatever is open
  */
@@ -25,7 +25,7 @@
     private static final long STILL_SENDS = 650 * MILLI;
     /**
      * From the last answers and closes to the earliest kill: a process on part of a core that stands still again and again is
-     * late by some of it. The end of a session is owed within 1 s, so that connections with sessions must not close much sooner.
+     * late by some of it.
      */
     private static final long KILL_MARGIN = 700 * MILLI;
     /**
@@ -65,13 +65,25 @@
     }
 
     /**
-     * Whether the process may end.
+     * Whether no client can be told of the end of a session any more: what is read of media hosts from then on is of no use to anybody.
      *
      * @param since time since the signal
-     * @param busy requests are open, sessions play, or something waits to be written, to clients or to media hosts
+     * @param clients connections that clients hold
+     */
+    boolean tellsNobody(long since, int clients) {
+        return since >= closesAfter && clients == 0;
+    }
+
+    /**
+     * Whether the process may end. It does not stay for sessions of whose ends it can tell nobody, as it owes their ends while it lives.
+     *
+     * @param since time since the signal
+     * @param busy requests are open, or something waits to be written, to clients or to media hosts
+     * @param playing whether sessions play
      * @param clients connections that clients hold: on each a request may be on its way
      */
-    boolean mayEnd(long since, boolean busy, int clients) {
-        return since >= endsBy || since >= refusesAfter && !busy && clients == 0;
+    boolean mayEnd(long since, boolean busy, boolean playing, int clients) {
+        boolean owes = busy || playing && !tellsNobody(since, clients);
+        return since >= endsBy || since >= refusesAfter && !owes && clients == 0;
     }
 }
--- a/src/test/java/cypressvalve/run/ShutdownScheduleTest.java
+++ b/src/test/java/cypressvalve/run/ShutdownScheduleTest.java
@@ -33,4 +33,16 @@
         assertTrue(schedule.closesUnused(400 * MILLI, 60 * MILLI));
         assertFalse(schedule.closesUnused(600 * MILLI, 5 * MILLI));
     }
+
+    /** Guards against a process that stays for sessions though it can tell no client of their ends, which it owes while it lives. */
+    @Test
+    void theProcessStaysForSessionsOnlyAsLongAsItCanTellOfTheirEnds() {
+        ShutdownSchedule schedule = ShutdownSchedule.of(3_000 * MILLI);
+        assertFalse(schedule.mayEnd(2_000 * MILLI, false, true, 1));
+        assertFalse(schedule.mayEnd(2_000 * MILLI, false, true, 0), "a client may still connect");
+        assertFalse(schedule.mayEnd(schedule.closesAfter(), false, true, 1));
+        assertTrue(schedule.mayEnd(schedule.closesAfter(), false, true, 0));
+        assertFalse(schedule.mayEnd(schedule.closesAfter(), true, false, 0), "a host is owed something");
+        assertTrue(schedule.mayEnd(schedule.endsBy(), true, true, 1));
+    }
 }
--- a/src/test/java/cypressvalve/soak/ShutdownTest.java
+++ b/src/test/java/cypressvalve/soak/ShutdownTest.java
@@ -13,6 +13,8 @@
 class ShutdownTest extends GatewayTrial {
     private static final long KILL_AFTER_DEADLINE_MILLIS = 700;
     private static final long PERIOD_MILLIS = 2;
+    /** The protocol's time from a host's release to the one towards the client: what is said as the connection closes would be owed then. */
+    private static final long RELEASED_WITHIN_MILLIS = 1_050;
 
     /** Sends on open connections until the very kill, at the earliest that the platform sends it. */
     private void terminatedWhileClientsSend(int deadlineMillis, ClientEmulator... clients) throws Exception {
@@ -115,4 +117,16 @@
         terminatedWhileClientsSend(400, one, two);
         partOfACore.join();
     }
+
+    /** Guards against ends that hosts say in the last seconds and that nobody is told: a process that lives on for sessions without a client's connection. */
+    @Test
+    void aProcessThatCanTellNobodyOfTheEndOfASessionDoesNotStayForIt() throws Exception {
+        start(3, 1_000, 1_000);
+        ClientEmulator client = client("client");
+        client.send(request(1_000));
+        assertTrue(record.await(Event.Kind.ANSWER_SERVED, 1, MOST_MILLIS), "not served");
+        gateway.terminate();
+        assertTrue(record.await(Event.Kind.CONNECTION_ENDED, 1, MOST_MILLIS), "its connection stays");
+        assertTrue(record.await(Event.Kind.PROCESS_ENDED, 1, RELEASED_WITHIN_MILLIS), () -> "it lives on: " + gateway.log());
+    }
 }
