--- a/src/main/java/cypressvalve/soak/MediaHostEmulator.java
+++ b/src/main/java/cypressvalve/soak/MediaHostEmulator.java
@@ -607,6 +607,11 @@
         sessions.allOver("its machine vanished");
     }
 
+    /** Its address is free for another one; its connections stay as they are. */
+    void leaveAddress() throws IOException {
+        listener.close();
+    }
+
     @Override
     public void close() throws IOException {
         listener.close();
