A host that is connected to again at once, and what is known of it, count from the poll before

Not reproduced. Change: what follows a host begins to know it at the poll before; the last connection's end opens the next at once where there is room, in whatever order the sides ended it; an orderly end behind this side's settles doubts, as only a process that lives gives it. The second host of PlatformEndsTest listens now: the test handed over a session at a host that refuses connections, which is a dead one, told at once (41) since a refusal counts; what it checks, that another host's word is not this session's end, stays. Result: ProcessContinuityTest, ConnectionEndsTest, RtspHostClientTest, UnseenConnectionsTest, VanishedHostsTest, GivenUpConnectionsTest, SilentHostTest, SpoiltMessagesTest, SessionCoreTest and Platform*Test pass.

--- a/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
+++ b/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
@@ -343,7 +343,7 @@
         ConnectionPool pool = pool(host);
         pool.followed = on;
         pool.lifeline = new Lifeline(System.nanoTime(), limits.connectTimeout());
-        pool.continuity = new ProcessContinuity(System.nanoTime());
+        pool.continuity = new ProcessContinuity(polls.seenUntil());
         if (on) {
             pool.checkLiveness();
         }
@@ -622,7 +622,7 @@
         private boolean gone;
         private long goneAt;
         private Lifeline lifeline = new Lifeline(System.nanoTime(), limits.connectTimeout());
-        private ProcessContinuity continuity = new ProcessContinuity(System.nanoTime());
+        private ProcessContinuity continuity = new ProcessContinuity(polls.seenUntil());
         /** When something came from the host last, on any connection. */
         private long heardAt = NEVER;
         /** When a connection came up last. */
@@ -838,7 +838,7 @@
                 passOnWaiting();
             }
             lifeline = new Lifeline(System.nanoTime(), limits.connectTimeout());
-            continuity = new ProcessContinuity(System.nanoTime());
+            continuity = new ProcessContinuity(polls.seenUntil());
             events.record(EventKind.HOST_LOST, null, EventLog.NONE, address.id(), why);
             notes.lost(address.id());
         }
@@ -861,13 +861,35 @@
             }
         }
 
-        /** A connection that was up has ended at the host's side. */
-        private void endedByHost() {
-            if (followed && !gone && !isConnected() && continuity.lastEndedByHost(polls.seenUntil(), System.nanoTime())) {
+        /**
+         * A connection that was up has ended at the host's side. Where it was the last, the next is opened at once: only one that is taken
+         * without delay shows that the process lives on.
+         *
+         * @param behindThisSide whether this side had ended it before, behind which a process that lives ends it, too
+         */
+        private void endedByHost(HostConnection connection, boolean behindThisSide) {
+            if (!followed || gone) {
+                return;
+            }
+            long now = System.nanoTime();
+            if (behindThisSide) {
+                proven(continuity.heard(connection.life.upAt(), polls.seenUntil(), now), "it ended a connection of before in order");
+            }
+            if (isConnected() || behindThisSide && !mayConnectAtOnce(now)) {
+                return;
+            }
+            if (continuity.lastEndedByHost(polls.seenUntil(), now)) {
                 lost(DIED);
+            } else if (connections.isEmpty() && mayConnectAtOnce(now)) {
+                new HostConnection(this);
             }
         }
 
+        /** Where places are scarce the one that was given up for another host's is not taken back at once. */
+        private boolean mayConnectAtOnce(long now) {
+            return budget.hasRoom() && !repeats.isClosedForRoom(now);
+        }
+
         /** A connection that was up was closed at this side. */
         private void closedHere(boolean unanswered) {
             if (unanswered && !isConnected()) {
@@ -1470,8 +1492,8 @@
             }
             resendUnread();
             ended(Verdict.BROKEN, duplex.endedByPeer());
-            if (duplex.endedByPeer() && !endedHereFirst) {
-                pool.endedByHost();
+            if (duplex.endedByPeer()) {
+                pool.endedByHost(this, endedHereFirst);
             }
             pool.reopen();
         }
--- a/src/test/java/cypressvalve/run/NodeScene.java
+++ b/src/test/java/cypressvalve/run/NodeScene.java
@@ -22,6 +22,8 @@
 /** A gateway whole on loopback: the test is viewer, media host and coordinator, with codecs of its own. */
 abstract class NodeScene {
     final ServerSocket host = socket();
+    /** Of the second media host: its system takes connections, and nothing is said there. */
+    final ServerSocket secondHost = socket();
     final ServerSocket coordinator = socket();
     final ServerSocket next = socket();
     final LinkedBlockingQueue<String> log = new LinkedBlockingQueue<>();
@@ -40,6 +42,7 @@
     PlatformSettings settings(ServerSocket told) throws IOException {
         String text = Files.readString(Path.of("deploy/archive.json")).replace("127.0.0.1:1\"", "127.0.0.1:" + told.getLocalPort()
             + "\"").replaceAll("\"hostPort\": \"127.0.0.1:2\"", "\"hostPort\": \"127.0.0.1:" + host.getLocalPort() + "\"")
+            .replaceAll("\"hostPort\": \"127.0.0.1:3\"", "\"hostPort\": \"127.0.0.1:" + secondHost.getLocalPort() + "\"")
             .replaceAll("\"aimNs\": [0-9]+", "\"aimNs\": 2800000000").replaceAll("\"coldNs\": [0-9]+", "\"coldNs\": 0");
         return PlatformSettings.read(Files.writeString(dir.resolve("config.json"), text), null);
     }
@@ -72,6 +75,7 @@
         node.kill();
         stream.close();
         host.close();
+        secondHost.close();
         coordinator.close();
         next.close();
     }
