Ends that are dropped untold, and hosts decided on too late, are counted

Need: the rule on ends was kept by several parts and checked by none at run time. Change: RequestInvariants counts END_NOT_TOLD (an end is given up though a client is connected) and HOST_DECIDED_LATE (a host whose connections had ended was known last over 8.05 s ago); both reach the line of counts and the soak's INVARIANT. Result: RequestInvariantsTest passes.

--- a/src/main/java/cypressvalve/diagnostics/RequestInvariants.java
+++ b/src/main/java/cypressvalve/diagnostics/RequestInvariants.java
@@ -8,8 +8,8 @@
 /**
  * The protocol's rules on requests as invariants of one gateway, apart from the code that is to keep them: each request has one
  * final answer, no attempt begins after that or for a client that has gone, no two attempts of a request are out at once, none
- * is sent to a media host that the list does not name as serving, and no connection is closed over an open request. What would
- * break one is refused where that can be, and counted. Free of I/O and clocks; used on the gateway's loop.
+ * is sent to a media host that the list does not name as serving, no connection is closed over an open request, and the end of a
+ * session is told while that is in time. What would break one is refused where that can be, and counted. Free of I/O and clocks; used on the gateway's loop.
  */
 public final class RequestInvariants {
     /** What must not happen. */
@@ -25,9 +25,16 @@
         /** The gateway closed a connection with a request open on it. */
         CLOSED_OVER_OPEN_REQUEST,
         /** The process ended with a request open. */
-        ENDED_WITH_OPEN_REQUEST
+        ENDED_WITH_OPEN_REQUEST,
+        /** The end of a session was given up, though a client was connected that could have been told. */
+        END_NOT_TOLD,
+        /** A media host's process was known to be there last so long ago that its sessions' ends can't be told in time any more. */
+        HOST_DECIDED_LATE
     }
 
+    /** The protocol's time for an end that nobody can say, with its slack. */
+    private static final long UNSAID_END_NANOS = 8_050_000_000L;
+
     /** Of an open request: the media host where an attempt may be out, or none. */
     private final Map<String, Long> open = new HashMap<>();
     private final Map<Violation, Long> counts = new EnumMap<>(Violation.class);
@@ -101,6 +108,25 @@
         open.clear();
     }
 
+    /**
+     * The end of a session that stood is not kept any longer for its client.
+     *
+     * @param told whether it was written to a connection that has not lost it
+     * @param connected whether a client is connected
+     */
+    public void endGivenUp(String session, boolean told, boolean connected) {
+        check(told || !connected, Violation.END_NOT_TOLD, session, EventLog.NONE);
+    }
+
+    /**
+     * What a media host carried counts as over.
+     *
+     * @param unknownFor nanoseconds since its process was known to be there last
+     */
+    public void hostDecided(long host, long unknownFor) {
+        check(unknownFor < UNSAID_END_NANOS, Violation.HOST_DECIDED_LATE, null, host);
+    }
+
     /** Requests that are owed an answer. */
     public int openRequests() {
         return open.size();
--- a/src/main/java/cypressvalve/front/signal/SignalFront.java
+++ b/src/main/java/cypressvalve/front/signal/SignalFront.java
@@ -226,7 +226,7 @@
                 client.end("silent");
             }
         }
-        pendingReleases.values().stream().takeWhile(release -> now - release.since > RELEASE_KEPT).toList().forEach(this::forget);
+        pendingReleases.values().stream().takeWhile(release -> now - release.since > RELEASE_KEPT).toList().forEach(this::expire);
         clients.forEach(ClientConnection::forgetSentAnswers);
         allEnded();
         usedIds.expire(now);
@@ -374,6 +374,11 @@
         releasesTogether.add(owner, 1);
     }
 
+    private void expire(PendingRelease release) {
+        invariants.endGivenUp(Signal.id(release.id), release.written, clients.stream().anyMatch(client -> client.good));
+        forget(release);
+    }
+
     /** @param release null for none */
     private void forget(PendingRelease release) {
         if (release != null && pendingReleases.remove(release.id, release)) {
--- a/src/main/java/cypressvalve/host/AttemptGuard.java
+++ b/src/main/java/cypressvalve/host/AttemptGuard.java
@@ -44,4 +44,11 @@
 
     /** The request's attempt is known to be over, or never left. */
     void over(String request);
+
+    /**
+     * What a media host carried counts as over, as its process is not known to be there any more.
+     *
+     * @param unknownFor nanoseconds since it was known last
+     */
+    default void hostDecided(long host, long unknownFor) { }
 }
--- a/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
+++ b/src/main/java/cypressvalve/host/rtsp/RtspHostClient.java
@@ -910,6 +910,9 @@
                 doubtSilentOnes(now);
             }
             continuity.decide(now, this::isConnectedSinceBefore).ifPresent(doubt -> {
+                if (doubt.cause() == ProcessContinuity.Cause.CONNECTED_LATE) { // With the others the host may have stood still meanwhile.
+                    guard.hostDecided(address.id(), now - doubt.since());
+                }
                 events.record(EventKind.HOST_REPLACED, null, EventLog.NONE, address.id(), describe(doubt));
                 notes.replaced(address.id(), doubt.boundary());
             });
--- a/src/main/java/cypressvalve/run/PlatformNode.java
+++ b/src/main/java/cypressvalve/run/PlatformNode.java
@@ -176,6 +176,11 @@
         public void over(String request) {
             invariants.over(request);
         }
+
+        @Override
+        public void hostDecided(long host, long unknownFor) {
+            invariants.hostDecided(host, unknownFor);
+        }
     }
 
     private void listed(ListVersion version) {
--- a/src/test/java/cypressvalve/diagnostics/RequestInvariantsTest.java
+++ b/src/test/java/cypressvalve/diagnostics/RequestInvariantsTest.java
@@ -51,4 +51,16 @@
         assertEquals(Map.of(Violation.SECOND_ANSWER, 1L, Violation.CLOSED_OVER_OPEN_REQUEST, 1L,
             Violation.ENDED_WITH_OPEN_REQUEST, 1L), invariants.counts());
     }
+
+    /** Guards against ends that are owed and dropped without anybody's noticing. */
+    @Test
+    void anEndThatIsDroppedUntoldAndAHostThatIsDecidedOnTooLateAreCounted() {
+        invariants.endGivenUp("aa", true, true);
+        invariants.endGivenUp("aa", false, false);
+        invariants.hostDecided(1, 8_000_000_000L);
+        assertEquals(Map.of(), invariants.counts());
+        invariants.endGivenUp("aa", false, true);
+        invariants.hostDecided(1, 8_100_000_000L);
+        assertEquals(Map.of(Violation.END_NOT_TOLD, 1L, Violation.HOST_DECIDED_LATE, 1L), invariants.counts());
+    }
 }
